--- /dev/null
+++ b/group/group_test.go
@@ -0,0 +1,54 @@
+package group_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarackcross/group"
+)
+
+// TestPositions guards against positions being compared as bare numbers across
+// terms: the scripts name the verdict for each position and history.
+func TestPositions(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var h group.History
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.SplitSeq(d.Input, "\n") {
+				switch d.Cmd {
+				case "history":
+					var err error
+					if h, err = group.ParseHistory(line); err != nil {
+						return "error: " + err.Error()
+					}
+					fmt.Fprintf(&out, "term=%d %s\n", h.Term(), h)
+				case "contains":
+					fmt.Fprintf(&out, "%s %s\n", line, h.Contains(position(t, line)))
+				case "clip":
+					fmt.Fprintf(&out, "%s -> %s\n", line, h.Clip(position(t, line)))
+				case "less":
+					a, b, _ := strings.Cut(line, " ")
+					fmt.Fprintf(&out, "%s %v\n", line, position(t, a).Less(position(t, b)))
+				case "parse":
+					p, err := group.ParsePosition(line)
+					fmt.Fprintf(&out, "%s %v\n", p, err != nil)
+				default:
+					d.Fatalf(t, "unknown command %s", d.Cmd)
+				}
+			}
+			return out.String()
+		})
+	})
+}
+
+func position(t *testing.T, text string) group.Position {
+	t.Helper()
+	p, err := group.ParsePosition(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
--- /dev/null
+++ b/group/history.go
@@ -0,0 +1,129 @@
+package group
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Start records that a term continues the log after Offset of the term before
+// it. Entries of earlier terms beyond Offset were discarded.
+type Start struct {
+	Term   uint64
+	Offset uint64
+}
+
+// Verdict says whether a position is part of the log of a group.
+type Verdict int
+
+// The verdicts of History.Contains.
+const (
+	// Unknown means the history does not cover the term of the position.
+	Unknown Verdict = iota
+	// Kept means the position is in the log, or may still be appended to it in
+	// the current term.
+	Kept
+	// Discarded means the position belonged to a tail that a later term cut off.
+	Discarded
+)
+
+// String names the verdict.
+func (v Verdict) String() string {
+	switch v {
+	case Kept:
+		return "kept"
+	case Discarded:
+		return "discarded"
+	default:
+		return "unknown"
+	}
+}
+
+// History lists where each term of a group started, oldest first.
+type History struct {
+	starts []Start
+}
+
+// NewHistory returns a history of the given starts, which must be ordered by
+// strictly increasing term.
+func NewHistory(starts ...Start) (History, error) {
+	for i := 1; i < len(starts); i++ {
+		if starts[i].Term <= starts[i-1].Term {
+			return History{}, eris.Errorf("history: term %d follows term %d", starts[i].Term, starts[i-1].Term)
+		}
+	}
+	return History{starts: slices.Clone(starts)}, nil
+}
+
+// Starts returns a copy of the starts, oldest first.
+func (h History) Starts() []Start { return slices.Clone(h.starts) }
+
+// Term returns the newest term, or 0 for an empty history.
+func (h History) Term() uint64 {
+	if len(h.starts) == 0 {
+		return 0
+	}
+	return h.starts[len(h.starts)-1].Term
+}
+
+// Append returns the history extended by one start.
+func (h History) Append(s Start) (History, error) {
+	return NewHistory(append(h.Starts(), s)...)
+}
+
+// Contains decides whether p is part of the log. A position of a term is
+// discarded as soon as any later term started at a lower offset.
+func (h History) Contains(p Position) Verdict {
+	if p.IsZero() {
+		return Kept
+	}
+	i := slices.IndexFunc(h.starts, func(s Start) bool { return s.Term == p.Term })
+	if i < 0 {
+		return Unknown
+	}
+	for _, later := range h.starts[i+1:] {
+		if p.Offset > later.Offset {
+			return Discarded
+		}
+	}
+	return Kept
+}
+
+// String renders the history as "term@offset" fields separated by commas.
+func (h History) String() string {
+	fields := make([]string, 0, len(h.starts))
+	for _, s := range h.starts {
+		fields = append(fields, strings.Replace(Position(s).String(), "/", "@", 1))
+	}
+	return strings.Join(fields, ",")
+}
+
+// ParseHistory reads the form that String writes.
+func ParseHistory(text string) (History, error) {
+	if text == "" {
+		return History{}, nil
+	}
+	var starts []Start
+	for field := range strings.SplitSeq(text, ",") {
+		p, err := ParsePosition(strings.Replace(field, "@", "/", 1))
+		if err != nil {
+			return History{}, eris.Wrap(err, "history")
+		}
+		starts = append(starts, Start(p))
+	}
+	return NewHistory(starts...)
+}
+
+// Clip returns the end of the part of a log ending at p that no later term cut
+// off. A member that missed a promotion holds entries beyond that part.
+func (h History) Clip(p Position) Position {
+	i := slices.IndexFunc(h.starts, func(s Start) bool { return s.Term > p.Term })
+	if i < 0 {
+		return p
+	}
+	for _, later := range h.starts[i:] {
+		p.Offset = min(p.Offset, later.Offset)
+	}
+	return p
+}
