shape: classify SQL text and fingerprint its normalised form

Routing needs to know which statements are reads; anything that is not proved to be a read is a write. One pass over the text classifies and hashes it with FNV-1a, which is equal on every instance (hash/maphash is seeded per process and was ruled out for that reason).

--- /dev/null
+++ b/shape/shape.go
@@ -0,0 +1,179 @@
+// Package shape classifies SQL text by its effect and computes a fingerprint
+// of its normalised form. It reads the text once, in linear time, and treats
+// everything that it cannot prove to be a read as a write.
+package shape
+
+import "strings"
+
+// Kind is the effect of a statement as far as the proxy needs it.
+type Kind uint8
+
+// The kinds of statements. Other is treated as a write.
+const (
+	Other Kind = iota
+	Empty
+	Read
+	Write
+	Begin
+	Commit
+	Rollback
+	Set
+	Show
+	Copy
+)
+
+var kindNames = [...]string{
+	"other", "empty", "read", "write", "begin", "commit", "rollback", "set", "show", "copy",
+}
+
+// String names the kind.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "other"
+}
+
+// Prefix starts the names of the settings that the proxy itself answers.
+const Prefix = "tamarackcross."
+
+// Statement is one classified statement.
+type Statement struct {
+	text        string
+	name        string
+	value       string
+	fingerprint uint64
+	kind        Kind
+	readOnly    bool
+	chain       bool
+	local       bool
+	reset       bool
+	pins        bool
+}
+
+// Kind returns the kind of the statement.
+func (s Statement) Kind() Kind { return s.kind }
+
+// Fingerprint returns the hash of the normalised text. It is equal on every
+// instance for statements that differ only in literals, parameters, the length
+// of IN lists, white space, comments and the case of unquoted words.
+func (s Statement) Fingerprint() uint64 { return s.fingerprint }
+
+// Text returns the text of the statement without its semicolon.
+func (s Statement) Text() string { return s.text }
+
+// ReadOnly reports whether a Begin asks for a read-only transaction, or a
+// SET TRANSACTION makes the current one read-only.
+func (s Statement) ReadOnly() bool { return s.readOnly }
+
+// Chain reports whether a Commit or Rollback starts the next transaction.
+func (s Statement) Chain() bool { return s.chain }
+
+// Name returns the lower-case name of the setting of a Set or Show.
+func (s Statement) Name() string { return s.name }
+
+// Value returns the value of a Set. One literal is returned without quotes.
+func (s Statement) Value() string { return s.value }
+
+// Local reports whether a Set ends with the transaction.
+func (s Statement) Local() bool { return s.local }
+
+// Reset reports whether a Set returns the setting to its default.
+func (s Statement) Reset() bool { return s.reset }
+
+// Pins reports whether the statement leaves state on its connection that later
+// statements of the session depend on.
+func (s Statement) Pins() bool { return s.pins }
+
+// Own reports whether a Set or Show names a setting of the proxy.
+func (s Statement) Own() bool { return strings.HasPrefix(s.name, Prefix) }
+
+// Classifier classifies statements. It is safe for concurrent use.
+type Classifier struct {
+	calls map[string]callKind
+}
+
+// Option changes a Classifier.
+type Option func(*Classifier)
+
+// WithFunctions adds functions that are known to have no side effects. Names
+// are given unqualified and in lower case.
+func WithFunctions(names ...string) Option {
+	return func(c *Classifier) {
+		for _, name := range names {
+			c.calls[name] = callPure
+		}
+	}
+}
+
+// New returns a Classifier.
+func New(opts ...Option) *Classifier {
+	c := &Classifier{calls: knownCalls()}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+var standard = New()
+
+// Classify classifies one statement. A text with several statements is Other;
+// use Split for it.
+func Classify(sql string) Statement { return standard.Classify(sql) }
+
+// Split classifies each non-empty statement of a simple query.
+func Split(sql string) []Statement { return standard.Split(sql) }
+
+// Classify classifies one statement. A text with several statements is Other.
+func (c *Classifier) Classify(sql string) Statement {
+	first, rest := c.next(sql)
+	for rest != "" {
+		var more Statement
+		more, rest = c.next(rest)
+		if first.kind == Empty {
+			first = more
+			continue
+		}
+		if more.kind != Empty {
+			return Statement{
+				text:        sql,
+				kind:        Other,
+				pins:        first.pins || more.pins,
+				fingerprint: mix(first.fingerprint, more.fingerprint),
+			}
+		}
+	}
+	return first
+}
+
+// Split classifies each non-empty statement of a simple query.
+func (c *Classifier) Split(sql string) []Statement {
+	var list []Statement
+	for rest := sql; rest != ""; {
+		var s Statement
+		if s, rest = c.next(rest); s.kind != Empty {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// next classifies the first statement of sql and returns the text after its
+// semicolon.
+func (c *Classifier) next(sql string) (Statement, string) {
+	j := judge{calls: c.calls, scan: scanner{text: sql}, hash: hashOffset}
+	end := len(sql)
+	for {
+		t := j.scan.next()
+		if t.kind == tokenEnd {
+			break
+		}
+		if t.kind == tokenPunct && sql[t.start] == ';' && j.atTop() {
+			end = t.start
+			break
+		}
+		j.take(t)
+	}
+	s := j.statement(sql[:end])
+	return s, sql[min(end+1, len(sql)):]
+}
