emul: server, SQL, group functions and replication

The emulated database group that other packages test against: a member serves the simple and the extended protocol to pgx, reports group_position, and answers group_status, group_watch, group_confirm, group_fence, group_promote and group_follow. Replicas pull with group_fetch over the same protocol.

--- /dev/null
+++ b/emul/ast.go
@@ -0,0 +1,103 @@
+package emul
+
+import "strings"
+
+// statement is a parsed statement. It is one of the types below.
+type statement interface{ statement() }
+
+type (
+	beginStmt    struct{}
+	commitStmt   struct{}
+	rollbackStmt struct{}
+	emptyStmt    struct{}
+	noopStmt     struct{ tag string }
+	setStmt      struct{ name, value string }
+	showStmt     struct{ name string }
+	callStmt     struct {
+		name string
+		args []operand
+		from *callStmt // generate_series that gives the number of rows
+	}
+	constStmt  struct{ values []operand }
+	selectStmt struct {
+		table   string
+		columns []string
+		key     *operand
+		limit   *operand
+	}
+	insertStmt struct {
+		table    string
+		key, val operand
+		conflict conflictRule
+	}
+	updateStmt struct {
+		table string
+		key   operand
+		set   operand
+		add   bool
+	}
+	deleteStmt struct {
+		table string
+		key   operand
+	}
+)
+
+type conflictRule int
+
+const (
+	conflictError conflictRule = iota
+	conflictSkip
+	conflictReplace
+)
+
+func (beginStmt) statement()    {}
+func (commitStmt) statement()   {}
+func (rollbackStmt) statement() {}
+func (emptyStmt) statement()    {}
+func (noopStmt) statement()     {}
+func (setStmt) statement()      {}
+func (showStmt) statement()     {}
+func (callStmt) statement()     {}
+func (constStmt) statement()    {}
+func (selectStmt) statement()   {}
+func (insertStmt) statement()   {}
+func (updateStmt) statement()   {}
+func (deleteStmt) statement()   {}
+
+// operand is a literal or a parameter.
+type operand struct {
+	text   string
+	param  int // 1-based, 0 for a literal
+	number bool
+}
+
+// value resolves the operand against the bound parameters. Bind has checked
+// their number.
+func (o operand) value(params []string) string {
+	if o.param == 0 {
+		return o.text
+	}
+	return params[o.param-1]
+}
+
+// oid returns the type of the operand as a result column.
+func (o operand) oid() uint32 {
+	if o.number && !strings.Contains(o.text, ".") {
+		return oidInt8
+	}
+	return oidText
+}
+
+// Columns of every table, and the aggregates over them.
+const (
+	keyColumn   = "k"
+	valueColumn = "v"
+	countColumn = "count"
+	sumColumn   = "sum"
+)
+
+// isKeyColumn reports whether name stands for the key of a row. Every other
+// name stands for its value.
+func isKeyColumn(name string) bool {
+	return name == keyColumn || name == "key" || name == "id"
+}
--- /dev/null
+++ b/emul/calls.go
@@ -0,0 +1,135 @@
+package emul
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Names of the functions that run in a slot.
+const (
+	sleepName  = "pg_sleep"
+	repeatName = "repeat"
+	seriesName = "generate_series"
+)
+
+const maxRepeat = 64 << 20 // bytes of one value of repeat
+
+// number returns argument i of a call as an integer.
+func (st callStmt) number(i int, params []string) (int64, error) {
+	text, err := st.text(i, params)
+	if err != nil {
+		return 0, err
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, errNotNumber
+	}
+	return n, nil
+}
+
+// unsigned returns argument i of a call as a term or offset.
+func (st callStmt) unsigned(i int, params []string) (uint64, error) {
+	n, err := st.number(i, params)
+	if err == nil && n < 0 {
+		err = errNotNumber
+	}
+	return uint64(n), err
+}
+
+// millis returns argument i of a call as a duration in milliseconds.
+func (st callStmt) millis(i int, params []string) (time.Duration, error) {
+	n, err := st.number(i, params)
+	return time.Duration(n) * time.Millisecond, err
+}
+
+func (st callStmt) text(i int, params []string) (string, error) {
+	if i >= len(st.args) {
+		return "", &Error{stateNoFunction, "function " + st.name + " needs more arguments"}
+	}
+	return st.args[i].value(params), nil
+}
+
+func sleepTime(st callStmt, params []string) (time.Duration, error) {
+	text, err := st.text(0, params)
+	if err != nil {
+		return 0, err
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0, errNotNumber
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// callCursor opens the cursor of a function call. A call FROM generate_series
+// returns its value once per element.
+func callCursor(st callStmt, params []string) (*cursor, error) {
+	if st.name == seriesName {
+		return seriesCursor(st, params, nil)
+	}
+	value, err := callValue(st, params)
+	if err != nil {
+		return nil, err
+	}
+	if st.from != nil {
+		return seriesCursor(*st.from, params, &cursor{cols: columnsOf(st), next: func() ([]string, bool) {
+			return []string{value}, true
+		}})
+	}
+	return rowsCursor(columnsOf(st), [][]string{{value}}), nil
+}
+
+func callValue(st callStmt, params []string) (string, error) {
+	switch st.name {
+	case sleepName:
+		return "", nil
+	case repeatName:
+		text, err := st.text(0, params)
+		if err != nil {
+			return "", err
+		}
+		n, err := st.number(1, params)
+		if err != nil {
+			return "", err
+		}
+		if n < 0 || n*int64(len(text)) > maxRepeat {
+			return "", errNotNumber
+		}
+		return strings.Repeat(text, int(n)), nil
+	}
+	return "", &Error{stateNoFunction, "function " + st.name + " does not exist"}
+}
+
+// seriesCursor counts from the first to the second argument. With each, it
+// returns a row of each per element instead of the element.
+func seriesCursor(st callStmt, params []string, each *cursor) (*cursor, error) {
+	from, err := st.number(0, params)
+	if err != nil {
+		return nil, err
+	}
+	to, err := st.number(1, params)
+	if err != nil {
+		return nil, err
+	}
+	c := &cursor{cols: columnsOf(st), tag: selectTag}
+	c.next = func() ([]string, bool) {
+		if from > to {
+			return nil, false
+		}
+		from++
+		return []string{strconv.FormatInt(from-1, 10)}, true
+	}
+	if each == nil {
+		return c, nil
+	}
+	count := c.next
+	c.cols = each.cols
+	c.next = func() ([]string, bool) {
+		if _, ok := count(); !ok {
+			return nil, false
+		}
+		return each.next()
+	}
+	return c, nil
+}
--- /dev/null
+++ b/emul/conn.go
@@ -0,0 +1,93 @@
+package emul
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// DialFunc opens a connection to the address of a member.
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
+// dialTCP is the DialFunc of a member that uses no Network.
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// conn is a connection of a member that obeys Freeze and Silence.
+type conn struct {
+	net.Conn
+	m        *Member
+	ctx      context.Context
+	silenced atomic.Bool
+}
+
+// Read returns nothing while the member is frozen, and drops everything that
+// arrives on a silenced connection.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if gateErr := c.m.gate(c.ctx); gateErr != nil {
+			return 0, gateErr
+		}
+		if err != nil || !c.silenced.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write waits while the member is frozen, and drops the data of a silenced
+// connection.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.m.gate(c.ctx); err != nil {
+		return 0, err
+	}
+	if c.silenced.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// gate waits until the member is not frozen.
+func (m *Member) gate(ctx context.Context) error {
+	for {
+		thawed := m.frozen.Load()
+		if thawed == nil {
+			return ctx.Err()
+		}
+		select {
+		case <-*thawed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// adopt registers a connection, so that Silence and the end of ctx reach it.
+func (m *Member) adopt(ctx context.Context, nc net.Conn) (*conn, bool) {
+	c := &conn{Conn: nc, m: m, ctx: ctx}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ctx.Err() != nil {
+		nc.Close()
+		return nil, false
+	}
+	m.conns[c] = struct{}{}
+	return c, true
+}
+
+func (m *Member) disown(c *conn) {
+	c.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.conns, c)
+}
+
+func (m *Member) closeConns() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for c := range m.conns {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/emul/group_test.go
@@ -0,0 +1,119 @@
+package emul_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jackc/pgx/v5"
+
+	"tamarackcross/emul"
+)
+
+// site runs the commands of a script against one group.
+type site struct {
+	t     *testing.T
+	g     *emul.Group
+	conns map[string]*pgx.Conn
+}
+
+// TestScripts guards against statements with a wrong result, SQLSTATE or
+// position, and against promotions that lose or bring back entries.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &site{t: t, conns: make(map[string]*pgx.Conn)}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.t = t
+			return s.run(d)
+		})
+	})
+}
+
+func (s *site) run(d *datadriven.TestData) string {
+	if s.g == nil {
+		n := 1
+		d.MaybeScanArgs(s.t, "members", &n)
+		s.g = startGroup(s.t, n)
+		return ""
+	}
+	member := 1
+	d.MaybeScanArgs(s.t, "m", &member)
+	session := "1"
+	d.MaybeScanArgs(s.t, "s", &session)
+	switch d.Cmd {
+	case "sql":
+		return s.simple(s.conn("app", session, member), d.Input)
+	case "control":
+		return s.simple(s.conn("tamarackcross", session, member), s.expand(d.Input))
+	case "wait":
+		s.wait(d, member)
+		return ""
+	}
+	d.Fatalf(s.t, "unknown command %s", d.Cmd)
+	return ""
+}
+
+// wait returns once the primary knows that every member has applied a position.
+func (s *site) wait(d *datadriven.TestData, member int) {
+	var position string
+	d.ScanArgs(s.t, "applied", &position)
+	c := s.conn("tamarackcross", "wait", member)
+	eventually(s.t, func() bool {
+		result := c.PgConn().ExecParams(testContext(s.t), "SELECT group_watch(0, 5)", nil, nil, nil, nil).Read()
+		n := 0
+		for _, row := range result.Rows {
+			if string(row[2]) == position {
+				n++
+			}
+		}
+		return n == len(s.g.Servers())
+	})
+}
+
+func (s *site) conn(user, session string, member int) *pgx.Conn {
+	key := fmt.Sprint(user, session, member)
+	if s.conns[key] == nil {
+		s.conns[key] = connect(s.t, user, s.g.Addr(member-1))
+	}
+	return s.conns[key]
+}
+
+// expand replaces $ADDRn by the address of member n.
+func (s *site) expand(sql string) string {
+	for i := range s.g.Servers() {
+		sql = strings.ReplaceAll(sql, fmt.Sprintf("$ADDR%d", i+1), s.g.Addr(i))
+	}
+	return sql
+}
+
+// simple runs each line as one simple query.
+func (s *site) simple(c *pgx.Conn, input string) string {
+	var out strings.Builder
+	for sql := range strings.SplitSeq(input, "\n") {
+		results, err := c.PgConn().Exec(testContext(s.t), sql).ReadAll()
+		for _, r := range results {
+			for _, row := range r.Rows {
+				fmt.Fprintf(&out, "%s\n", strings.Join(textRow(row), " "))
+			}
+			if r.Err == nil {
+				fmt.Fprintf(&out, "%s\n", r.CommandTag)
+			}
+		}
+		if err != nil {
+			fmt.Fprintf(&out, "error %s\n", stateOf(err))
+		}
+	}
+	return out.String()
+}
+
+func textRow(values [][]byte) []string {
+	row := make([]string, len(values))
+	for i, v := range values {
+		row[i] = string(v)
+		if row[i] == "" {
+			row[i] = "''"
+		}
+	}
+	return row
+}
