entry: the path of a statement from caller to backend server

Filters in order: accept, identify, classify, admit, route, borrow, execute, settle, reply. Commits are acknowledged once a majority holds their position; writes with an idempotency key commit together with their record.

Ruled out: one pgproto3 Backend per caller. It keeps an 8 KiB read buffer for as long as the connection lives; the frame layer in wire holds pooled buffers only while a request is in work.

TestReadYourWrites writes through one entry and reads through the other with the token while the replicas lag by 100 ms.

--- /dev/null
+++ b/entry/database.go
@@ -0,0 +1,299 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tamarackcross/errs"
+	"tamarackcross/group"
+)
+
+// databaseTable holds the databases that this entry serves. A database is added
+// at its first use.
+type databaseTable struct {
+	mu sync.RWMutex
+	m  map[string]*database
+}
+
+func (t *databaseTable) init() { t.m = make(map[string]*database) }
+
+func (t *databaseTable) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, db := range t.m {
+		db.close()
+	}
+}
+
+// database returns the runtime state of a database, made at first use.
+func (s *Server) database(name string) (*database, error) {
+	s.databases.mu.RLock()
+	db := s.databases.m[name]
+	s.databases.mu.RUnlock()
+	if db != nil {
+		return db, nil
+	}
+	s.databases.mu.Lock()
+	defer s.databases.mu.Unlock()
+	if db = s.databases.m[name]; db != nil {
+		return db, nil
+	}
+	if _, ok := s.dir.Group(name); !ok {
+		return nil, errs.New(errs.NotRun, errs.ReasonUnknownDB, "database \""+name+"\" is not known")
+	}
+	if s.ctx.Err() != nil {
+		return nil, errs.New(errs.NotRun, errs.ReasonShutdown, "instance is shutting down")
+	}
+	db = newDatabase(s, name)
+	s.databases.m[name] = db
+	return db, nil
+}
+
+// database is what an entry knows about one group while it serves it.
+type database struct {
+	srv  *Server
+	name string
+
+	mu       sync.Mutex
+	members  map[string]*member
+	majority group.Position // newest position known to be held by a majority
+	heard    time.Time      // when the primary last answered the watch
+	changed  chan struct{}  // closed at each rise of majority
+
+	confirms confirmer
+	cancel   context.CancelFunc
+	done     chan error // receives the end of the watch
+}
+
+func newDatabase(s *Server, name string) *database {
+	ctx, cancel := context.WithCancel(s.ctx)
+	db := &database{
+		srv:     s,
+		name:    name,
+		members: make(map[string]*member),
+		changed: make(chan struct{}),
+		cancel:  cancel,
+		done:    make(chan error, 1),
+	}
+	db.confirms.init(db)
+	go func() { db.done <- db.watch(ctx) }()
+	return db
+}
+
+func (db *database) close() {
+	db.cancel()
+	<-db.done
+	db.confirms.close()
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	for _, m := range db.members {
+		m.close()
+	}
+}
+
+// group returns what is known about the group now.
+func (db *database) group() (Group, error) {
+	g, ok := db.srv.dir.Group(db.name)
+	if !ok {
+		return Group{}, errs.New(errs.NotRun, errs.ReasonUnknownDB, "database \""+db.name+"\" is not known")
+	}
+	return g, nil
+}
+
+// member returns the runtime state of a member. A member whose address changed
+// starts afresh.
+func (db *database) member(b Backend) *member {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	m := db.members[b.Name]
+	if m != nil && m.addr == b.Addr {
+		return m
+	}
+	if m != nil {
+		m.close()
+	}
+	m = newMember(db, b)
+	db.members[b.Name] = m
+	return m
+}
+
+const (
+	watchPoll    = 200 * time.Millisecond // longest time that the primary holds a watch call
+	watchTimeout = 450 * time.Millisecond // a watch call without an answer by then has failed
+	watchRetry   = 25 * time.Millisecond  // between attempts to reach the primary
+)
+
+// watch follows the positions of the group at its primary until ctx ends.
+func (db *database) watch(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := db.srv.dir.Changed()
+		if err := db.watchPrimary(ctx); err != nil && ctx.Err() == nil {
+			db.srv.log.Debug().Err(err).Str("database", db.name).Msg("watch of the primary ended")
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(watchRetry):
+		}
+	}
+	return ctx.Err()
+}
+
+var errReplaced = eris.New("primary was replaced")
+
+// watchPrimary follows one primary until it fails or is replaced.
+func (db *database) watchPrimary(ctx context.Context) error {
+	g, err := db.group()
+	if err != nil {
+		return err
+	}
+	b, ok := g.Member(g.Primary)
+	if !ok {
+		return errs.New(errs.NotRun, errs.ReasonNoPrimary, "no primary is known")
+	}
+	c, err := db.dialWatch(ctx, b)
+	if err != nil {
+		db.observe(b, g.Term, false)
+		return err
+	}
+	defer c.close()
+	var after uint64
+	for ctx.Err() == nil {
+		now, ok := db.srv.dir.Group(db.name)
+		if !ok || now.Term != g.Term || now.Primary != g.Primary {
+			return errReplaced
+		}
+		if after, err = db.watchOnce(ctx, c, after); err != nil {
+			db.observe(b, g.Term, false)
+			return err
+		}
+		db.observe(b, g.Term, true)
+	}
+	return ctx.Err()
+}
+
+func (db *database) dialWatch(ctx context.Context, b Backend) (*controlConn, error) {
+	ctx, stop := context.WithTimeout(ctx, watchTimeout)
+	defer stop()
+	return dialControl(ctx, db.srv.dial, b.Addr, db.name, db.srv.cred.Password)
+}
+
+// watchOnce waits for news from the primary and returns the offset that a
+// majority holds.
+func (db *database) watchOnce(ctx context.Context, c *controlConn, after uint64) (uint64, error) {
+	ctx, stop := context.WithTimeout(ctx, watchTimeout)
+	defer stop()
+	asked := time.Now()
+	rows, err := c.query(ctx, fmt.Sprintf("SELECT group_watch(%d, %d)", after, watchPoll.Milliseconds()))
+	if err != nil {
+		return after, err
+	}
+	reports, err := parseReports(rows)
+	if err != nil {
+		return after, err
+	}
+	return db.learn(reports, asked, time.Now()), nil
+}
+
+// report is one row of group_watch.
+type report struct {
+	member   string
+	held     group.Position
+	applied  group.Position
+	majority group.Position
+}
+
+func parseReports(rows [][]string) ([]report, error) {
+	out := make([]report, 0, len(rows))
+	for _, row := range rows {
+		if len(row) != 4 {
+			return nil, eris.Errorf("group_watch: %d columns, want 4", len(row))
+		}
+		r := report{member: row[0]}
+		for i, p := range []*group.Position{&r.held, &r.applied, &r.majority} {
+			var err error
+			if *p, err = group.ParsePosition(row[i+1]); err != nil {
+				return nil, eris.Wrap(err, "group_watch")
+			}
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// learn takes in what the primary reported. The primary answered after asked,
+// so its position covers every commit before that.
+func (db *database) learn(reports []report, asked, now time.Time) uint64 {
+	g, err := db.group()
+	if err != nil {
+		return 0
+	}
+	var top uint64
+	for _, r := range reports {
+		if b, ok := g.Member(r.member); ok {
+			db.member(b).observe(r.applied, now)
+		}
+		db.raise(r.majority, now)
+		top = r.majority.Offset
+	}
+	return top
+}
+
+// raise records that a majority holds p.
+func (db *database) raise(p group.Position, now time.Time) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.heard = now
+	if !db.majority.Less(p) {
+		return
+	}
+	db.majority = p
+	close(db.changed)
+	db.changed = make(chan struct{})
+}
+
+// confirmed reports whether a majority is known to hold p.
+func (db *database) confirmed(p group.Position) bool {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return !db.majority.Less(p)
+}
+
+// Observation is what an entry found out about a member.
+type Observation struct {
+	Database  string
+	Member    string
+	Term      uint64
+	Reachable bool
+	Position  group.Position
+	At        time.Time
+}
+
+func (db *database) observe(b Backend, term uint64, reachable bool) {
+	if db.srv.observer == nil {
+		return
+	}
+	db.mu.Lock()
+	p := db.majority
+	db.mu.Unlock()
+	db.srv.observer.Observe(Observation{
+		Database: db.name, Member: b.Name, Term: term, Reachable: reachable, Position: p, At: time.Now(),
+	})
+}
+
+// primaryMember returns the primary that is known now.
+func (db *database) primaryMember() (*member, error) {
+	g, err := db.group()
+	if err != nil {
+		return nil, err
+	}
+	b, ok := g.Member(g.Primary)
+	if !ok {
+		return nil, errs.New(errs.NotRun, errs.ReasonNoPrimary, "no primary is known")
+	}
+	return db.member(b), nil
+}
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,107 @@
+package entry_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+
+	"tamarackcross/emul"
+	"tamarackcross/entry"
+	"tamarackcross/group"
+	"tamarackcross/token"
+)
+
+var tokenKey = []byte("0123456789abcdef0123456789abcdef")
+
+// site is one group with two entries in front of it.
+type site struct {
+	group   *emul.Group
+	dir     *entry.StaticDirectory
+	entries []*entry.Server
+	addrs   []string
+}
+
+func startSite(t *testing.T, opts ...emul.Option) *site {
+	t.Helper()
+	ctx := context.Background()
+	g, err := emul.StartGroup(ctx, "app", []string{"a", "b", "c"}, opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{group: g, dir: entry.NewStaticDirectory(directoryOf(t, g))}
+	t.Cleanup(func() { g.Close() })
+	for _, zone := range []string{"a", "b"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := entry.New(s.dir, token.New(tokenKey), entry.WithName("entry-"+zone), entry.WithZone(zone))
+		done := make(chan error, 1)
+		go func() { done <- e.Serve(ctx, l) }()
+		t.Cleanup(func() {
+			_ = l.Close()
+			e.Close()
+			<-done
+		})
+		s.entries = append(s.entries, e)
+		s.addrs = append(s.addrs, l.Addr().String())
+	}
+	return s
+}
+
+func directoryOf(t *testing.T, g *emul.Group) entry.Group {
+	t.Helper()
+	h, err := group.NewHistory(group.Start{Term: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := entry.Group{Database: "app", Term: 1, History: h}
+	for i, m := range g.Servers() {
+		if i == 0 {
+			out.Primary = m.Member().Name()
+		}
+		out.Members = append(out.Members, entry.Backend{
+			Name: m.Member().Name(), Zone: m.Zone(), Addr: m.Addr(), Slots: 5, Connections: 20,
+		})
+	}
+	return out
+}
+
+func (s *site) connect(t *testing.T, i int, params string) *pgx.Conn {
+	t.Helper()
+	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	defer stop()
+	c, err := pgx.Connect(ctx, "postgres://app@"+s.addrs[i]+"/app?sslmode=disable"+params)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+// TestReadYourWrites guards against a session that does not see its own write
+// after it moved to another instance while the replicas lag.
+func TestReadYourWrites(t *testing.T) {
+	s := startSite(t, emul.WithApplyLag(100*time.Millisecond))
+	ctx := context.Background()
+	a := s.connect(t, 0, "")
+	if _, err := a.Exec(ctx, "INSERT INTO rooms (k, v) VALUES ($1, $2)", "r1", "free"); err != nil {
+		t.Fatal(err)
+	}
+	tok := a.PgConn().ParameterStatus("tamarackcross.token")
+	if tok == "" {
+		t.Fatal("no token was reported with the write")
+	}
+	b := s.connect(t, 1, "&tamarackcross.token="+tok)
+	var got string
+	if err := b.QueryRow(ctx, "SELECT v FROM rooms WHERE k = $1", "r1").Scan(&got); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("free", got); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- /dev/null
+++ b/entry/member.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tamarackcross/errs"
+	"tamarackcross/group"
+)
+
+const (
+	connectTimeout = 2 * time.Second        // for opening a connection
+	maxIdle        = 5 * time.Minute        // an idle connection is closed after this
+	probeIdle      = 30 * time.Second       // an idle connection is probed before its next use
+	probeReuse     = 200 * time.Millisecond // one probe answers for all requests within this
+)
+
+// member is one backend server as this entry uses it: its slots, its
+// connections and what is known about its position.
+type member struct {
+	db          *database
+	name        string
+	zone        string
+	addr        string
+	dial        DialFunc
+	connections int
+	gate        *gate
+
+	mu      sync.Mutex
+	idle    []*backendConn
+	open    int // connections that are open or being opened
+	freed   chan struct{}
+	closed  bool
+	applied group.Position
+	asOf    time.Time
+
+	probeMu sync.Mutex
+	probed  time.Time
+	alive   bool
+}
+
+func newMember(db *database, b Backend) *member {
+	policy := db.srv.policies.Resolve(Scope{Database: db.name})
+	return &member{
+		db:          db,
+		name:        b.Name,
+		zone:        b.Zone,
+		addr:        b.Addr,
+		dial:        db.srv.dial,
+		connections: max(1, b.Connections),
+		gate:        newGate(max(1, b.Slots), policy),
+		freed:       make(chan struct{}),
+	}
+}
+
+// observe raises the position that the member is known to have applied.
+func (m *member) observe(p group.Position, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.applied.Less(p) {
+		m.applied = p
+	}
+	m.asOf = now
+}
+
+func (m *member) position() (group.Position, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.applied, m.asOf
+}
+
+// take returns an idle connection or opens one. It waits while the limit is
+// reached. The caller holds a slot.
+func (m *member) take(ctx context.Context) (*backendConn, error) {
+	for {
+		b, freed, err := m.tryTake(time.Now())
+		if err != nil {
+			return nil, err
+		}
+		if b != nil {
+			return b, nil
+		}
+		if freed == nil {
+			return m.openConn(ctx)
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// tryTake returns an idle connection, or nothing when one may be opened, or the
+// channel to wait on when the limit is reached.
+func (m *member) tryTake(now time.Time) (*backendConn, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return nil, nil, errs.New(errs.NotRun, errs.ReasonNoMember, "backend server is gone")
+	}
+	for n := len(m.idle); n > 0; n = len(m.idle) {
+		b := m.idle[n-1]
+		m.idle = m.idle[:n-1]
+		if now.Sub(b.used) < maxIdle {
+			return b, nil, nil
+		}
+		m.open--
+		b.close()
+	}
+	if m.open < m.connections {
+		m.open++
+		return nil, nil, nil
+	}
+	return nil, m.freed, nil
+}
+
+// openConn opens a connection that tryTake has counted.
+func (m *member) openConn(ctx context.Context) (*backendConn, error) {
+	ctx, stop := context.WithTimeout(ctx, connectTimeout)
+	defer stop()
+	h, err := connect(ctx, m.dial, m.addr, m.db.name, m.db.srv.cred)
+	if err != nil {
+		m.closedOne()
+		return nil, errs.New(errs.NotRun, errs.ReasonConnect, "no connection to the backend server could be opened")
+	}
+	return newBackendConn(m, h, time.Now()), nil
+}
+
+func (m *member) closedOne() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open--
+	m.wake()
+}
+
+// wake tells everyone who waits for a connection to try again. The caller
+// holds mu.
+func (m *member) wake() {
+	close(m.freed)
+	m.freed = make(chan struct{})
+}
+
+// put returns a connection. One whose state is in doubt is closed.
+func (m *member) put(b *backendConn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b.tainted || b.cancelled.Load() || m.closed || b.wc.Buffered() {
+		m.open--
+		b.close()
+	} else {
+		b.used = time.Now()
+		m.idle = append(m.idle, b)
+	}
+	m.wake()
+}
+
+// dropIdle closes the idle connections, for instance after the path to the
+// member was lost.
+func (m *member) dropIdle() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, b := range m.idle {
+		b.close()
+		m.open--
+	}
+	m.idle = nil
+	m.wake()
+}
+
+func (m *member) close() {
+	m.gate.drain(errs.ReasonNoMember)
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	m.dropIdle()
+}
+
+// probe asks the member for its status on a new connection of the control role.
+// It tells a slow backend server, which answers, from a lost path.
+func (m *member) probe(ctx context.Context, limit time.Duration, now time.Time) bool {
+	m.probeMu.Lock()
+	defer m.probeMu.Unlock()
+	if now.Sub(m.probed) < probeReuse {
+		return m.alive
+	}
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	err := m.ping(ctx)
+	m.probed, m.alive = time.Now(), err == nil
+	return m.alive
+}
+
+var errNoAnswer = eris.New("backend server gave no status")
+
+func (m *member) ping(ctx context.Context) error {
+	rows, err := m.ask(ctx, "SHOW group_status")
+	if err != nil {
+		return err
+	}
+	if len(rows) != 1 {
+		return errNoAnswer
+	}
+	return nil
+}
+
+// ask runs one statement of the proxy on a connection of its own.
+func (m *member) ask(ctx context.Context, sql string) ([][]string, error) {
+	c, err := dialControl(ctx, m.dial, m.addr, m.db.name, m.db.srv.cred.Password)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	return c.query(ctx, sql)
+}
--- a/errs/errs.go
+++ b/errs/errs.go
@@ -49,6 +49,9 @@
 	ReasonRetryBudget    Reason = "retry_budget"     // the retry budget is used up
 	ReasonCancelled      Reason = "cancelled"        // the caller cancelled or left
 	ReasonTooMany        Reason = "too_many"         // the limit of caller connections is reached
+	ReasonAuthentication Reason = "authentication"   // the caller could not prove who it is
+	ReasonIdle           Reason = "idle_transaction" // a transaction was idle for too long
+	ReasonSettings       Reason = "settings"         // the settings of the session could not be applied
 )
 
 // SQLSTATE codes that the proxy sends.
@@ -65,6 +68,8 @@
 	StateProgramLimit       = "54000"
 	StateUndefinedDatabase  = "3D000"
 	StateSerialization      = "40001"
+	StateInvalidPassword    = "28P01"
+	StateIdleTransaction    = "25P03"
 )
 
 // Error is a refusal or failure with everything that a caller needs to react.
@@ -153,6 +158,10 @@
 		return StateFeatureUnsupported
 	case ReasonProtocol:
 		return StateProtocolViolation
+	case ReasonAuthentication:
+		return StateInvalidPassword
+	case ReasonIdle:
+		return StateIdleTransaction
 	case ReasonTooLarge:
 		return StateProgramLimit
 	case ReasonShutdown:
--- /dev/null
+++ b/stats/stats.go
@@ -0,0 +1,203 @@
+// Package stats counts what an instance does. There is one counter for each
+// reason of a refusal and of a retry.
+package stats
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"tamarackcross/errs"
+)
+
+// Registry is the metrics of one instance. Counters of the hot path are plain
+// atomics that a tally scope reports from.
+type Registry struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter *textReporter
+
+	mu       sync.RWMutex
+	refusals map[errs.Reason]tally.Counter
+	retries  map[errs.Reason]tally.Counter
+
+	// Reads and writes answered, by the role of the member that served them.
+	ReadsReplica tally.Counter
+	ReadsPrimary tally.Counter
+	Writes       tally.Counter
+	Callers      tally.Gauge
+	callers      atomic.Int64
+}
+
+// reportInterval is how often tally hands its counters to the reporter.
+const reportInterval = time.Second
+
+// New returns a registry whose metrics carry the given tags.
+func New(tags map[string]string) *Registry {
+	rep := &textReporter{values: make(map[string]float64)}
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "tamarackcross",
+		Tags:            tags,
+		Reporter:        rep,
+		Separator:       "_",
+		SanitizeOptions: &sanitize,
+	}, reportInterval)
+	return &Registry{
+		scope:        scope,
+		closer:       closer,
+		reporter:     rep,
+		refusals:     make(map[errs.Reason]tally.Counter),
+		retries:      make(map[errs.Reason]tally.Counter),
+		ReadsReplica: scope.Tagged(map[string]string{"role": "replica"}).Counter("reads"),
+		ReadsPrimary: scope.Tagged(map[string]string{"role": "primary"}).Counter("reads"),
+		Writes:       scope.Counter("writes"),
+		Callers:      scope.Gauge("callers"),
+	}
+}
+
+// Scope returns the tally scope, for metrics of other packages.
+func (r *Registry) Scope() tally.Scope { return r.scope }
+
+// Close stops the reporting.
+func (r *Registry) Close() error { return r.closer.Close() }
+
+// Refused counts a refusal.
+func (r *Registry) Refused(reason errs.Reason) { r.counter(r.refusals, "refusals", reason).Inc(1) }
+
+// Retried counts a retry.
+func (r *Registry) Retried(reason errs.Reason) { r.counter(r.retries, "retries", reason).Inc(1) }
+
+// CallerOpened counts a caller connection and returns the number open.
+func (r *Registry) CallerOpened() int64 { return r.caller(1) }
+
+// CallerClosed undoes CallerOpened.
+func (r *Registry) CallerClosed() int64 { return r.caller(-1) }
+
+func (r *Registry) caller(n int64) int64 {
+	open := r.callers.Add(n)
+	r.Callers.Update(float64(open))
+	return open
+}
+
+func (r *Registry) counter(m map[errs.Reason]tally.Counter, name string, reason errs.Reason) tally.Counter {
+	r.mu.RLock()
+	c, ok := m[reason]
+	r.mu.RUnlock()
+	if ok {
+		return c
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c, ok = m[reason]; !ok {
+		c = r.scope.Tagged(map[string]string{"reason": string(reason)}).Counter(name)
+		m[reason] = c
+	}
+	return c
+}
+
+// WriteText writes the metrics in the text exposition format, sorted.
+func (r *Registry) WriteText(w io.Writer) error {
+	for _, line := range r.reporter.lines() {
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var sanitize = tally.SanitizeOptions{
+	NameCharacters: tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: tally.UnderscoreCharacters,
+	},
+	KeyCharacters: tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: tally.UnderscoreCharacters,
+	},
+	ValueCharacters: tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: tally.UnderscoreDashDotCharacters,
+	},
+	ReplacementCharacter: '_',
+}
+
+// textReporter accumulates what tally reports.
+type textReporter struct {
+	mu     sync.Mutex
+	values map[string]float64
+}
+
+func (t *textReporter) add(name string, tags map[string]string, v float64, reset bool) {
+	key := series(name, tags)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if reset {
+		t.values[key] = v
+		return
+	}
+	t.values[key] += v
+}
+
+func series(name string, tags map[string]string) string {
+	fields := make([]string, 0, len(tags))
+	for k, v := range tags {
+		fields = append(fields, fmt.Sprintf("%s=%q", k, v))
+	}
+	slices.Sort(fields)
+	return name + "{" + strings.Join(fields, ",") + "}"
+}
+
+func (t *textReporter) lines() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]string, 0, len(t.values))
+	for k, v := range t.values {
+		out = append(out, fmt.Sprintf("%s %g", k, v))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// ReportCounter adds the increase of a counter.
+func (t *textReporter) ReportCounter(name string, tags map[string]string, v int64) {
+	t.add(name, tags, float64(v), false)
+}
+
+// ReportGauge sets a gauge.
+func (t *textReporter) ReportGauge(name string, tags map[string]string, v float64) {
+	t.add(name, tags, v, true)
+}
+
+// ReportTimer adds the duration to the sum and one to the count of a timer.
+func (t *textReporter) ReportTimer(name string, tags map[string]string, d time.Duration) {
+	t.add(name+"_seconds_sum", tags, d.Seconds(), false)
+	t.add(name+"_seconds_count", tags, 1, false)
+}
+
+// ReportHistogramValueSamples adds samples to a bucket.
+func (t *textReporter) ReportHistogramValueSamples(name string, tags map[string]string, _ tally.Buckets, _, upper float64, samples int64) {
+	t.add(fmt.Sprintf("%s_bucket_%g", name, upper), tags, float64(samples), false)
+}
+
+// ReportHistogramDurationSamples adds samples to a bucket.
+func (t *textReporter) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
+	t.add(fmt.Sprintf("%s_bucket_%s", name, upper), tags, float64(samples), false)
+}
+
+// Capabilities returns the reporter itself, which reports and tags.
+func (t *textReporter) Capabilities() tally.Capabilities { return t }
+
+// Reporting says that the reporter reports.
+func (*textReporter) Reporting() bool { return true }
+
+// Tagging says that the reporter keeps tags.
+func (*textReporter) Tagging() bool { return true }
+
+// Flush has nothing to do: values are kept as they are reported.
+func (*textReporter) Flush() {}
