--- a/cmds/run.go
+++ b/cmds/run.go
@@ -27,6 +27,7 @@
 
 func commands() []command {
 	return []command{
+		&devCommand{},
 		&versionCommand{},
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -150,6 +150,9 @@
 // Stats returns the metrics.
 func (s *Server) Stats() *stats.Registry { return s.stats }
 
+// Counts returns the requests answered since the start.
+func (s *Server) Counts() stats.Counts { return s.stats.Counts() }
+
 // Serve accepts callers on l until Shutdown or until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
--- a/entry/run.go
+++ b/entry/run.go
@@ -229,11 +229,11 @@
 func (c *session) count(req *request, x *execution) {
 	switch {
 	case req.write:
-		c.srv.stats.Writes.Inc(1)
+		c.srv.stats.Write()
 	case req.reads() && x.b.member.primary():
-		c.srv.stats.ReadsPrimary.Inc(1)
+		c.srv.stats.ReadPrimary()
 	case req.reads():
-		c.srv.stats.ReadsReplica.Inc(1)
+		c.srv.stats.ReadReplica()
 	}
 }
 
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -27,12 +27,12 @@
 	refusals map[errs.Reason]tally.Counter
 	retries  map[errs.Reason]tally.Counter
 
-	// Reads and writes answered, by the role of the member that served them.
-	ReadsReplica tally.Counter
-	ReadsPrimary tally.Counter
-	Writes       tally.Counter
-	Callers      tally.Gauge
+	readsReplica tally.Counter
+	readsPrimary tally.Counter
+	writes       tally.Counter
+	callersGauge tally.Gauge
 	callers      atomic.Int64
+	counts       [3]atomic.Int64 // writes, reads by replicas, reads by primaries
 }
 
 // reportInterval is how often tally hands its counters to the reporter.
@@ -54,10 +54,10 @@
 		reporter:     rep,
 		refusals:     make(map[errs.Reason]tally.Counter),
 		retries:      make(map[errs.Reason]tally.Counter),
-		ReadsReplica: scope.Tagged(map[string]string{"role": "replica"}).Counter("reads"),
-		ReadsPrimary: scope.Tagged(map[string]string{"role": "primary"}).Counter("reads"),
-		Writes:       scope.Counter("writes"),
-		Callers:      scope.Gauge("callers"),
+		readsReplica: scope.Tagged(map[string]string{"role": "replica"}).Counter("reads"),
+		readsPrimary: scope.Tagged(map[string]string{"role": "primary"}).Counter("reads"),
+		writes:       scope.Counter("writes"),
+		callersGauge: scope.Gauge("callers"),
 	}
 }
 
@@ -73,6 +73,40 @@
 // Retried counts a retry.
 func (r *Registry) Retried(reason errs.Reason) { r.counter(r.retries, "retries", reason).Inc(1) }
 
+// Counts are the requests answered since the start.
+type Counts struct {
+	Writes       int64
+	ReadsReplica int64
+	ReadsPrimary int64
+}
+
+// Write counts a write that was acknowledged.
+func (r *Registry) Write() {
+	r.counts[0].Add(1)
+	r.writes.Inc(1)
+}
+
+// ReadReplica counts a read that a replica served.
+func (r *Registry) ReadReplica() {
+	r.counts[1].Add(1)
+	r.readsReplica.Inc(1)
+}
+
+// ReadPrimary counts a read that a primary served.
+func (r *Registry) ReadPrimary() {
+	r.counts[2].Add(1)
+	r.readsPrimary.Inc(1)
+}
+
+// Counts returns the requests answered since the start.
+func (r *Registry) Counts() Counts {
+	return Counts{
+		Writes:       r.counts[0].Load(),
+		ReadsReplica: r.counts[1].Load(),
+		ReadsPrimary: r.counts[2].Load(),
+	}
+}
+
 // CallerOpened counts a caller connection and returns the number open.
 func (r *Registry) CallerOpened() int64 { return r.caller(1) }
 
@@ -81,7 +115,7 @@
 
 func (r *Registry) caller(n int64) int64 {
 	open := r.callers.Add(n)
-	r.Callers.Update(float64(open))
+	r.callersGauge.Update(float64(open))
 	return open
 }
 
