--- /dev/null
+++ b/route/samples.go
@@ -0,0 +1,82 @@
+package route
+
+import (
+	"time"
+
+	"tamarackcross/group"
+)
+
+// maxSamples bounds the memory per database. When the list is full its older
+// half is thinned, so resolution falls with age and the newest samples stay
+// exact.
+const maxSamples = 128
+
+type sample struct {
+	at       time.Time
+	position group.Position
+}
+
+// Samples records positions of the primary over time, for bounds by age. It is
+// not safe for concurrent use.
+type Samples struct {
+	list []sample
+}
+
+// Add records that everything committed before now is covered by p, a position
+// in the term of the primary that reported it. A sample must stem from a
+// primary that was confirmed by a majority at now or later. Samples that run
+// back in time or term are ignored.
+func (s *Samples) Add(now time.Time, p group.Position) {
+	if n := len(s.list); n > 0 {
+		last := s.list[n-1]
+		if !now.After(last.at) || p.Less(last.position) {
+			return
+		}
+	}
+	if len(s.list) == maxSamples {
+		s.thin()
+	}
+	s.list = append(s.list, sample{at: now, position: p})
+}
+
+// thin drops every second sample of the older half. A dropped sample is
+// replaced by a later one, which covers more.
+func (s *Samples) thin() {
+	kept := s.list[:0]
+	for i, x := range s.list {
+		if i >= maxSamples/2 || i%2 == 1 {
+			kept = append(kept, x)
+		}
+	}
+	s.list = kept
+}
+
+// At returns the oldest sample taken at or after t by a primary of the given
+// term or a later one. It covers everything committed before t. Samples of
+// earlier terms are passed over, because a replaced primary does not know the
+// commits of its successor.
+func (s *Samples) At(t time.Time, term uint64) (group.Position, bool) {
+	if s == nil {
+		return group.Position{}, false
+	}
+	for _, x := range s.list {
+		if !x.at.Before(t) && x.position.Term >= term {
+			return x.position, true
+		}
+	}
+	return group.Position{}, false
+}
+
+// Reached returns the time of the oldest sample at or beyond p, an upper bound
+// of the time at which the primary reached p.
+func (s *Samples) Reached(p group.Position) (time.Time, bool) {
+	if s == nil {
+		return time.Time{}, false
+	}
+	for _, x := range s.list {
+		if !x.position.Less(p) {
+			return x.at, true
+		}
+	}
+	return time.Time{}, false
+}
