entry: route reads by bound, lag, zone and load

The routing decision of package route replaces the first replica that qualifies. Sessions that wait for a replica share one call of group_applied per replica, a new long poll of the emulated server; group_watch alone reports replicas only when the majority moves.

Ruled out: polling group_status. It costs a round trip per poll and is late by half the interval on average.

--- a/emul/funcs.go
+++ b/emul/funcs.go
@@ -56,6 +56,8 @@
 	switch st.name {
 	case watchName:
 		return s.m.callWatch(ctx, st, p.params)
+	case appliedName:
+		return s.m.callApplied(ctx, st, p.params)
 	case confirmName:
 		return s.m.callConfirm(ctx, st, p.params)
 	case fenceName:
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -29,7 +29,6 @@
 	deadline    time.Time
 
 	need        group.Position // position that the snapshot of a read must hold
-	bound       group.Bound
 	attempts    int
 	tried       []string
 	latest      bool // the bound is the newest acknowledged write
--- a/entry/database.go
+++ b/entry/database.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
 
 	"tamarackcross/errs"
 	"tamarackcross/group"
+	"tamarackcross/route"
 )
 
 // databaseTable holds the databases that this entry serves. A database is added
@@ -63,10 +66,17 @@
 	majority group.Position // newest position known to be held by a majority
 	heard    time.Time      // when the primary last answered the watch
 	changed  chan struct{}  // closed at each rise of majority
+	moved    chan struct{}  // closed when a member is seen to have applied more
+	samples  route.Samples  // positions of the primary over time
+	balance  *route.Balance
+	rnd      *rand.Rand
 
+	policy   *route.Policy
 	confirms confirmer
+	ctx      context.Context
 	cancel   context.CancelFunc
-	done     chan error // receives the end of the watch
+	wg       conc.WaitGroup // goroutines that follow a member
+	done     chan error     // receives the end of the watch
 }
 
 func newDatabase(s *Server, name string) *database {
@@ -76,6 +86,11 @@
 		name:    name,
 		members: make(map[string]*member),
 		changed: make(chan struct{}),
+		moved:   make(chan struct{}),
+		balance: route.NewBalance(),
+		rnd:     newRand(s.seed, s.name+name),
+		policy:  route.New(),
+		ctx:     ctx,
 		cancel:  cancel,
 		done:    make(chan error, 1),
 	}
@@ -88,6 +103,7 @@
 	db.cancel()
 	<-db.done
 	db.confirms.close()
+	db.wg.Wait()
 	db.mu.Lock()
 	defer db.mu.Unlock()
 	for _, m := range db.members {
@@ -109,6 +125,10 @@
 func (db *database) member(b Backend) *member {
 	db.mu.Lock()
 	defer db.mu.Unlock()
+	return db.memberLocked(b)
+}
+
+func (db *database) memberLocked(b Backend) *member {
 	m := db.members[b.Name]
 	if m != nil && m.addr == b.Addr {
 		return m
@@ -161,7 +181,7 @@
 		return err
 	}
 	defer c.close()
-	var after uint64
+	var after group.Position
 	for ctx.Err() == nil {
 		now, ok := db.srv.dir.Group(db.name)
 		if !ok || now.Term != g.Term || now.Primary != g.Primary {
@@ -182,13 +202,13 @@
 	return dialControl(ctx, db.srv.dial, b.Addr, db.name, db.srv.cred.Password)
 }
 
-// watchOnce waits for news from the primary and returns the offset that a
+// watchOnce waits for news from the primary and returns the position that a
 // majority holds.
-func (db *database) watchOnce(ctx context.Context, c *controlConn, after uint64) (uint64, error) {
+func (db *database) watchOnce(ctx context.Context, c *controlConn, after group.Position) (group.Position, error) {
 	ctx, stop := context.WithTimeout(ctx, watchTimeout)
 	defer stop()
 	asked := time.Now()
-	rows, err := c.query(ctx, fmt.Sprintf("SELECT group_watch(%d, %d)", after, watchPoll.Milliseconds()))
+	rows, err := c.query(ctx, fmt.Sprintf("SELECT group_watch('%s', %d)", after, watchPoll.Milliseconds()))
 	if err != nil {
 		return after, err
 	}
@@ -227,22 +247,56 @@
 
 // learn takes in what the primary reported. The primary answered after asked,
 // so its position covers every commit before that.
-func (db *database) learn(reports []report, asked, now time.Time) uint64 {
+func (db *database) learn(reports []report, asked, now time.Time) group.Position {
 	g, err := db.group()
 	if err != nil {
-		return 0
+		return group.Position{}
+	}
+	var top group.Position
+	for _, r := range reports {
+		if r.member == g.Primary {
+			db.sample(r.held, asked)
+		}
 	}
-	var top uint64
 	for _, r := range reports {
 		if b, ok := g.Member(r.member); ok {
-			db.member(b).observe(r.applied, now)
+			db.member(b).learn(r.applied, now)
 		}
 		db.raise(r.majority, now)
-		top = r.majority.Offset
+		top = r.majority
 	}
 	return top
 }
 
+// sample records that everything committed before asked is covered by p.
+func (db *database) sample(p group.Position, asked time.Time) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.samples.Add(asked, p)
+}
+
+// move wakes the sessions that wait for a member.
+func (db *database) move() {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	close(db.moved)
+	db.moved = make(chan struct{})
+}
+
+// lagOf estimates how long ago the primary reached p.
+func (db *database) lagOf(p group.Position, now time.Time) time.Duration {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	if !p.Less(db.majority) {
+		return 0
+	}
+	at, ok := db.samples.Reached(p)
+	if !ok {
+		return 0
+	}
+	return now.Sub(at)
+}
+
 // raise records that a majority holds p.
 func (db *database) raise(p group.Position, now time.Time) {
 	db.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -255,7 +254,3 @@
 	s.log.Debug().Str("database", database).Str("reason", string(e.Reason())).
 		Str("outcome", string(e.Outcome())).Msg(e.Text())
 }
-
-func (s *Server) newRand() *rand.Rand {
-	return rand.New(rand.NewPCG(s.seed, uint64(s.nextPID.Load())))
-}
--- a/entry/member.go
+++ b/entry/member.go
@@ -36,6 +36,11 @@
 	closed  bool
 	applied group.Position
 	asOf    time.Time
+	lag     time.Duration // from commit at the primary to visibility here
+	leaveAt time.Time     // when the member was first seen to be leaving
+
+	wanted    group.Position // newest position that a session waits for
+	following bool
 
 	probeMu sync.Mutex
 	probed  time.Time
@@ -59,11 +64,25 @@
 // observe raises the position that the member is known to have applied.
 func (m *member) observe(p group.Position, now time.Time) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.applied.Less(p) {
+	rose := m.applied.Less(p)
+	if rose {
 		m.applied = p
 	}
 	m.asOf = now
+	waited := rose && !m.wanted.IsZero()
+	m.mu.Unlock()
+	if waited {
+		m.db.move()
+	}
+}
+
+// learn takes in the position from a report of the primary, and with it the lag.
+func (m *member) learn(p group.Position, now time.Time) {
+	lag := m.db.lagOf(p, now)
+	m.mu.Lock()
+	m.lag = lag
+	m.mu.Unlock()
+	m.observe(p, now)
 }
 
 func (m *member) position() (group.Position, time.Time) {
--- a/entry/route.go
+++ b/entry/route.go
@@ -2,40 +2,179 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"time"
 
 	"tamarackcross/errs"
+	"tamarackcross/group"
+	"tamarackcross/route"
 )
 
-// route chooses the member that serves a request.
+// route chooses the member that serves a request. It waits while a replica is
+// about to reach the bound of a read and that is cheaper than the primary.
 func (c *session) route(ctx context.Context, req *request) (*member, error) {
 	db, err := c.srv.database(c.database)
 	if err != nil {
 		return nil, err
 	}
-	g, err := db.group()
+	q, err := c.routeQuery(ctx, db, req)
 	if err != nil {
 		return nil, err
 	}
-	if req.onPrimary() {
-		return db.primaryMember()
+	for {
+		moved := db.movement()
+		now := time.Now()
+		q.Waited = now.Sub(req.arrived)
+		switch choice := db.pick(q, now).(type) {
+		case route.Use:
+			req.need, req.latest = choice.Need, choice.Confirm
+			return db.named(choice.Name)
+		case route.Wait:
+			if err := db.awaitMovement(ctx, moved, choice, now); err != nil {
+				return nil, err
+			}
+		case route.Reject:
+			return nil, errs.New(errs.NotRun, choice.Reason, "no member may serve the request",
+				errs.WithRetryAfter(choice.RetryAfter))
+		}
 	}
-	req.latest = c.set.bound == boundLatest && req.reads()
-	if req.need, err = c.needFor(ctx, db, g); err != nil {
-		return nil, err
+}
+
+// routeQuery describes the request to the routing decision.
+func (c *session) routeQuery(ctx context.Context, db *database, req *request) (route.Query, error) {
+	est := c.srv.learner.Lookup(req.fingerprint, req.arrived)
+	q := route.Query{
+		Write:    req.onPrimary(),
+		Zone:     c.srv.zone,
+		Deadline: req.deadline,
+		Expected: est.Mean,
+		Exclude:  req.tried,
 	}
-	if req.latest || req.primaryOnly {
-		return db.primaryMember()
+	if q.Write {
+		q.Exclude = nil // the primary is the only candidate
+		return q, nil
 	}
-	for _, b := range g.Members {
-		m := db.member(b)
-		p, _ := m.position()
-		if b.Name != g.Primary && !b.Leaving && c.holds(p, req.need) {
-			return m, nil
+	bound, err := c.bound(ctx, db, req)
+	q.Bound = bound
+	return q, err
+}
+
+// bound returns the bound of a read. A session without a position takes that
+// of the primary, so that nothing acknowledged before is missed.
+func (c *session) bound(ctx context.Context, db *database, req *request) (group.Bound, error) {
+	if req.primaryOnly {
+		return group.LatestBound{}, nil
+	}
+	if c.set.bound == boundLatest && req.reads() {
+		return group.LatestBound{}, nil
+	}
+	p, ok := c.vector.At(c.database)
+	if !ok && !req.reads() {
+		return group.SessionBound{}, nil // SHOW and the like read no data
+	}
+	if !ok {
+		var err error
+		if p, err = db.confirms.current(ctx); err != nil {
+			return nil, err
 		}
+		c.vector = c.vector.With(c.database, p)
+	}
+	if c.set.bound == boundAge {
+		return group.AgeBound{Max: c.set.maxAge, Position: p}, nil
+	}
+	return group.SessionBound{Position: p}, nil
+}
+
+// pick runs the routing decision on what is known now.
+func (db *database) pick(q route.Query, now time.Time) route.Choice {
+	g, err := db.group()
+	if err != nil {
+		return route.Reject{Reason: errs.ReasonUnknownDB}
+	}
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	view := route.Group{
+		Term: g.Term, History: g.History, Primary: g.Primary,
+		Samples: &db.samples, Penalty: db.balance.Penalty(),
+	}
+	for _, b := range g.Members {
+		view.Members = append(view.Members, db.memberLocked(b).view(b, g, now))
 	}
-	m, err := db.primaryMember()
+	choice := db.policy.Pick(q, view, now, db.rnd)
+	if use, ok := choice.(route.Use); ok && !q.Write {
+		db.balance.Note(use.Name == g.Primary)
+	}
+	return choice
+}
+
+// view describes the member to the routing decision.
+func (m *member) view(b Backend, g Group, now time.Time) route.Member {
+	load := m.gate.load()
+	slots := float64(max(1, load.slots))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := route.Member{
+		Name:    m.name,
+		Zone:    m.zone,
+		Primary: m.name == g.Primary,
+		Applied: m.applied,
+		AsOf:    m.asOf,
+		Lag:     m.lag,
+		Load:    float64(load.running+load.waiting) / slots,
+		Wait:    time.Duration(float64(load.waiting) / slots * float64(m.db.srv.learner.Typical())),
+		Leaving: b.Leaving,
+	}
+	if b.Leaving && m.leaveAt.IsZero() {
+		m.leaveAt = now
+	}
+	out.LeaveAt = m.leaveAt
+	return out
+}
+
+// named returns a member by name.
+func (db *database) named(name string) (*member, error) {
+	g, err := db.group()
+	if err != nil {
+		return nil, err
+	}
+	b, ok := g.Member(name)
+	if !ok {
+		return nil, errs.New(errs.NotRun, errs.ReasonNoMember, "backend server is gone")
+	}
+	return db.member(b), nil
+}
+
+// movement returns a channel that is closed when a member is seen to have
+// applied more.
+func (db *database) movement() <-chan struct{} {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return db.moved
+}
+
+// awaitMovement waits for the member of choice to apply more. While anybody
+// waits, the member is asked for its position.
+func (db *database) awaitMovement(ctx context.Context, moved <-chan struct{}, choice route.Wait, now time.Time) error {
+	m, err := db.named(choice.Name)
 	if err != nil {
-		return nil, errs.New(errs.NotRun, errs.ReasonNoMember, "no member may serve the read")
+		return err
+	}
+	m.follow(choice.Need)
+	t := time.NewTimer(max(0, choice.Until.Sub(now)))
+	defer t.Stop()
+	select {
+	case <-moved:
+	case <-t.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+func newRand(seed uint64, name string) *rand.Rand {
+	var h uint64
+	for i := range len(name) {
+		h = h*31 + uint64(name[i])
 	}
-	return m, nil
+	return rand.New(rand.NewPCG(seed, h))
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -117,7 +117,7 @@
 		x.b.tainted = true // its state is that of this session from here on
 	}
 	if err == nil && x.status != statusIdle {
-		c.tx = &openTx{conn: x.b, started: x.req.arrived, readOnly: x.req.readOnly, vars: c.vars}
+		c.tx = &openTx{conn: x.b, started: x.req.arrived, vars: c.vars}
 		c.tx.wrote = x.req.write
 		return
 	}
--- a/entry/session.go
+++ b/entry/session.go
@@ -51,12 +51,10 @@
 
 // openTx is a transaction that is open on a backend connection.
 type openTx struct {
-	conn     *backendConn
-	term     uint64 // term of the group when the transaction began
-	started  time.Time
-	readOnly bool
-	wrote    bool
-	vars     sessionVars // settings if the transaction commits
+	conn    *backendConn
+	started time.Time
+	wrote   bool
+	vars    sessionVars // settings if the transaction commits
 }
 
 // prepared is a statement that a session prepared.
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -107,27 +107,3 @@
 	g, ok := m.db.srv.dir.Group(m.db.name)
 	return ok && g.Primary == m.name
 }
-
-// needFor returns the position that the snapshot of a read must hold. A session
-// without a position takes that of the primary, confirmed by a majority.
-func (c *session) needFor(ctx context.Context, db *database, g Group) (group.Position, error) {
-	p, ok := c.vector.At(c.database)
-	if !ok {
-		current, err := db.confirms.current(ctx)
-		if err != nil {
-			return group.Position{}, err
-		}
-		c.vector = c.vector.With(c.database, current)
-		return current, nil
-	}
-	switch g.History.Contains(p) {
-	case group.Discarded:
-		return p, errs.New(errs.NotRun, errs.ReasonBoundDiscarded,
-			"the position of the session was discarded by a change of primary")
-	case group.Unknown:
-		if p.Term <= g.Term {
-			return p, errs.New(errs.NotRun, errs.ReasonBoundUnknown, "the position of the session is of an unknown term")
-		}
-	}
-	return p, nil
-}
