--- /dev/null
+++ b/raft/errors.go
@@ -0,0 +1,25 @@
+package raft
+
+import "github.com/rotisserie/eris"
+
+// Errors that Propose, ProposeChange, ReadIndex and Compact report. Nothing
+// was appended to the log when one of them is returned.
+var (
+	ErrNotLeader     = eris.New("raft: this member is not the leader")
+	ErrNotReady      = eris.New("raft: the leader has not committed an entry of its term yet")
+	ErrBusy          = eris.New("raft: too much uncommitted work")
+	ErrTooLarge      = eris.New("raft: the proposal is larger than the limit")
+	ErrChangePending = eris.New("raft: an earlier membership change is not committed")
+	ErrMemberExists  = eris.New("raft: the identity is already a member")
+	ErrNoMember      = eris.New("raft: the identity is not a member")
+	ErrNotLearner    = eris.New("raft: the member is not a learner")
+	ErrNotCaughtUp   = eris.New("raft: the learner has not caught up")
+	ErrLastVoter     = eris.New("raft: the last voter cannot be removed")
+	ErrNoQuorum      = eris.New("raft: no majority of the changed membership is reachable")
+	ErrNotApplied    = eris.New("raft: the index is not applied yet")
+	ErrCompacted     = eris.New("raft: the index is covered by a snapshot already")
+)
+
+// ErrDiverged is the Fault of an Output when a leader contradicts an entry
+// that this member knows to be committed.
+var ErrDiverged = eris.New("raft: a committed entry was contradicted by the leader")
