State machine of the control log

All copies of the state must agree, and entries need to read it without locks at 4,000 databases. The state is divided into sections (configuration, each instance, each database) held in an immutable two-level tree; a change copies the root, one group and one leaf and shares the rest with the view before it.

One section for all instances was ruled out: each restart would send the data of all 2,700 to every node.

--- /dev/null
+++ b/state/owner.go
@@ -0,0 +1,187 @@
+package state
+
+import (
+	"maps"
+	"slices"
+)
+
+// slot names a member of a database.
+type slot struct {
+	database string
+	member   string
+}
+
+// owners is the index behind the assignment of owners. It is derived from the
+// sections, so it is not part of a snapshot.
+type owners struct {
+	live    map[string][]string          // entry instances of each zone, sorted
+	owned   map[string]map[slot]struct{} // members of each owner
+	orphans map[string]map[slot]struct{} // members without owner of each zone
+}
+
+func newOwners() owners {
+	return owners{
+		live:    make(map[string][]string),
+		owned:   make(map[string]map[slot]struct{}),
+		orphans: make(map[string]map[slot]struct{}),
+	}
+}
+
+// pick returns the live instance of the zone with the highest rendezvous score,
+// or "" when the zone has none.
+func (o *owners) pick(zone string, s slot) string {
+	best, high := "", uint64(0)
+	prefix := fnv(fnv(fnvOffset, s.database)*fnvPrime, s.member) * fnvPrime
+	for _, name := range o.live[zone] {
+		if score := mix(fnv(prefix, name)); best == "" || score > high {
+			best, high = name, score
+		}
+	}
+	return best
+}
+
+func (o *owners) enter(zone, name string) {
+	list := o.live[zone]
+	if i, ok := slices.BinarySearch(list, name); !ok {
+		o.live[zone] = slices.Insert(list, i, name)
+	}
+}
+
+func (o *owners) exit(zone, name string) {
+	list := o.live[zone]
+	if i, ok := slices.BinarySearch(list, name); ok {
+		o.live[zone] = slices.Delete(list, i, i+1)
+	}
+}
+
+// index returns the set that holds the member and the key of the set.
+func (o *owners) index(m *Member) (sets map[string]map[slot]struct{}, key string) {
+	if m.Owner != "" {
+		return o.owned, m.Owner
+	}
+	return o.orphans, m.Zone
+}
+
+func (o *owners) record(db string, m *Member) {
+	sets, key := o.index(m)
+	if sets[key] == nil {
+		sets[key] = make(map[slot]struct{})
+	}
+	sets[key][slot{database: db, member: m.Name}] = struct{}{}
+}
+
+func (o *owners) release(db string, m *Member) {
+	sets, key := o.index(m)
+	delete(sets[key], slot{database: db, member: m.Name})
+	if len(sets[key]) == 0 {
+		delete(sets, key)
+	}
+}
+
+// assign gives a member that the index does not hold its owner.
+func (t *txn) assign(d *Database, m *Member) {
+	s := slot{database: d.name, member: m.Name}
+	t.grant(m, t.m.owners.pick(m.Zone, s))
+	t.m.owners.record(d.name, m)
+}
+
+// grant sets the owner, and raises the epoch when the owner or its incarnation
+// changes: a restarted owner has forgotten what it granted.
+func (t *txn) grant(m *Member, owner string) {
+	var incarnation uint64
+	if owner != "" {
+		incarnation = t.incarnation(owner)
+	}
+	if m.Owner == owner && m.OwnerIncarnation == incarnation {
+		return
+	}
+	m.Owner = owner
+	m.OwnerIncarnation = incarnation
+	m.Epoch++
+}
+
+func (t *txn) incarnation(name string) uint64 {
+	k := Key{Kind: KindInstance, Name: name}
+	if s, ok := t.sections[k].(*Instance); ok {
+		return s.Incarnation
+	}
+	if i, ok := t.view.Instance(name); ok {
+		return i.Incarnation
+	}
+	return 0
+}
+
+// replaceOwner updates the owners after an instance changed from old to next.
+// Either is nil when there is none. Only members whose owner is gone move, and
+// members that had none.
+func (t *txn) replaceOwner(old, next *Instance) {
+	was := old != nil && old.Has(RoleEntry)
+	is := next != nil && next.Has(RoleEntry)
+	if was && is && old.Zone == next.Zone {
+		t.restartOwner(old, next)
+		return
+	}
+	if was {
+		t.m.owners.exit(old.Zone, old.Name)
+	}
+	if is {
+		t.m.owners.enter(next.Zone, next.Name)
+	}
+	if was {
+		t.move(t.m.owners.owned[old.Name])
+	}
+	if is {
+		t.move(t.m.owners.orphans[next.Zone])
+	}
+}
+
+// restartOwner raises the epochs of the members of a restarted owner, which
+// keep their owner.
+func (t *txn) restartOwner(old, next *Instance) {
+	if old.Incarnation == next.Incarnation {
+		return
+	}
+	for s := range t.m.owners.owned[next.Name] {
+		t.grant(t.edit(s.database).member(s.member), next.Name)
+	}
+}
+
+// move assigns every member of the set anew. The order does not matter: the
+// choice depends on the member and the live instances only.
+func (t *txn) move(set map[slot]struct{}) {
+	for s := range maps.Clone(set) {
+		d := t.edit(s.database)
+		m := d.member(s.member)
+		t.m.owners.release(d.name, m)
+		t.assign(d, m)
+	}
+}
+
+func (t *txn) rebalance(zone string) Result {
+	changed := false
+	for _, name := range t.m.owners.live[zone] {
+		for s := range maps.Clone(t.m.owners.owned[name]) {
+			if t.m.owners.pick(zone, s) == name {
+				continue
+			}
+			t.move(map[slot]struct{}{s: {}})
+			changed = true
+		}
+	}
+	return done(changed)
+}
+
+// rebuild derives the index from a view.
+func (o *owners) rebuild(v *View) {
+	*o = newOwners()
+	for i := range v.Instances() {
+		if i.Has(RoleEntry) {
+			o.enter(i.Zone, i.Name)
+		}
+	}
+	for d := range v.Databases() {
+		for i := range d.members {
+			o.record(d.name, &d.members[i])
+		}
+	}
+}
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,132 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"tamarackcross/ctlpb"
+)
+
+// Errors of Restore.
+var (
+	ErrSnapshot      = eris.New("snapshot is malformed")
+	ErrOlderSnapshot = eris.New("snapshot is older than the state held")
+)
+
+// Snapshot returns the whole state. Equal states have equal bytes.
+func (m *Machine) Snapshot() []byte {
+	v := m.View()
+	p := &ctlpb.StateSnapshot{
+		Applied:  m.applied.Proto(),
+		Stamp:    v.stamp.Proto(),
+		Sections: make([]*ctlpb.StateChange, 0, v.tree.len()),
+		Control:  m.controlProto(),
+	}
+	for c := range v.Sections() {
+		p.Sections = append(p.Sections, c.Proto())
+	}
+	data, err := deterministic.Marshal(p)
+	if err != nil {
+		panic(err) // only invalid UTF-8 fails, and commands are checked for it
+	}
+	return data
+}
+
+// Restore replaces the state by a snapshot. A snapshot that is malformed, or
+// older than the state held, changes nothing.
+func (m *Machine) Restore(data []byte) error {
+	var p ctlpb.StateSnapshot
+	if err := proto.Unmarshal(data, &p); err != nil {
+		return eris.Wrap(ErrSnapshot, err.Error())
+	}
+	applied := StampOf(p.GetApplied())
+	if applied.Less(m.applied) {
+		return eris.Wrapf(ErrOlderSnapshot, "%s is before %s", applied, m.applied)
+	}
+	next := New()
+	next.applied = applied
+	if err := next.restoreView(&p); err != nil {
+		return eris.Wrap(ErrSnapshot, err.Error())
+	}
+	if err := next.restoreControl(p.GetControl()); err != nil {
+		return eris.Wrap(ErrSnapshot, err.Error())
+	}
+	m.replace(next)
+	return nil
+}
+
+func (m *Machine) restoreView(p *ctlpb.StateSnapshot) error {
+	stamp := StampOf(p.GetStamp())
+	if stamp.IsZero() {
+		return nil
+	}
+	v, err := Empty().Replace(stamp, ChangesOf(p.GetSections()))
+	if err != nil {
+		return err
+	}
+	m.view.Store(v)
+	m.owners.rebuild(v)
+	return nil
+}
+
+// replace takes over the state of next, field by field because the atomic
+// pointers must not be copied.
+func (m *Machine) replace(next *Machine) {
+	m.view.Store(next.view.Load())
+	m.kept.Store(next.kept.Load())
+	m.applied = next.applied
+	m.clock = next.clock
+	m.results = next.results
+	m.owners = next.owners
+}
+
+// Digest returns a digest of the whole machine: the view and the part that only
+// control instances hold.
+func (m *Machine) Digest() uint64 {
+	data, err := deterministic.Marshal(m.controlProto())
+	if err != nil {
+		panic(err) // only invalid UTF-8 fails, and commands are checked for it
+	}
+	return m.View().Digest() ^ digestOf(Key{}, data)
+}
+
+// Proto returns the protobuf form of the stamp.
+func (s Stamp) Proto() *ctlpb.StateStamp { return &ctlpb.StateStamp{Term: s.Term, Index: s.Index} }
+
+// StampOf reads the form that Stamp.Proto writes.
+func StampOf(p *ctlpb.StateStamp) Stamp { return Stamp{Term: p.GetTerm(), Index: p.GetIndex()} }
+
+// Proto returns the protobuf form of the change.
+func (c Change) Proto() *ctlpb.StateChange {
+	return &ctlpb.StateChange{Kind: uint32(c.Key.Kind), Name: c.Key.Name, Data: c.Data, Removed: c.Removed}
+}
+
+// ChangesOf reads the form that Change.Proto writes. A kind of a newer release
+// becomes one that View refuses.
+func ChangesOf(list []*ctlpb.StateChange) []Change {
+	out := make([]Change, 0, len(list))
+	for _, p := range list {
+		k := Key{Kind: Kind(min(p.GetKind(), uint32(unknownKind))), Name: p.GetName()}
+		out = append(out, Change{Key: k, Data: p.GetData(), Removed: p.GetRemoved()})
+	}
+	return out
+}
+
+// unknownKind stands for all kinds that do not fit a Kind.
+const unknownKind Kind = 255
+
+// Proto returns the protobuf form of the delta.
+func (d Delta) Proto() *ctlpb.StateDelta {
+	p := &ctlpb.StateDelta{Prev: d.Prev.Proto(), Stamp: d.Stamp.Proto()}
+	for _, c := range d.Changes {
+		p.Changes = append(p.Changes, c.Proto())
+	}
+	return p
+}
+
+// DeltaOf reads the form that Delta.Proto writes.
+func DeltaOf(p *ctlpb.StateDelta) Delta {
+	return Delta{Prev: StampOf(p.GetPrev()), Stamp: StampOf(p.GetStamp()), Changes: slices.Clip(ChangesOf(p.GetChanges()))}
+}
