--- a/emul/ast.go
+++ b/emul/ast.go
@@ -11,7 +11,8 @@
 	rollbackStmt struct{}
 	emptyStmt    struct{}
 	noopStmt     struct{ tag string }
-	setStmt      struct{ name, value string }
+	setStmt      struct{ tag, name, value string }
+	discardStmt  struct{}
 	showStmt     struct{ name string }
 	callStmt     struct {
 		name string
@@ -56,6 +57,7 @@
 func (emptyStmt) statement()    {}
 func (noopStmt) statement()     {}
 func (setStmt) statement()      {}
+func (discardStmt) statement()  {}
 func (showStmt) statement()     {}
 func (callStmt) statement()     {}
 func (constStmt) statement()    {}
--- a/emul/cluster.go
+++ b/emul/cluster.go
@@ -24,6 +24,9 @@
 
 // NewServer returns a stopped server of m for addr, such as "127.0.0.1:0".
 func NewServer(m *Member, zone, addr string) *Server {
+	if m.network != nil {
+		m.dial = m.network.Dialer(m.name, zone)
+	}
 	return &Server{m: m, zone: zone, addr: addr}
 }
 
@@ -52,6 +55,9 @@
 		return eris.Wrap(err, "listen")
 	}
 	s.addr = l.Addr().String()
+	if s.m.network != nil {
+		s.m.network.Register(s.addr, s.m.name, s.zone)
+	}
 	ctx, s.cancel = context.WithCancel(ctx)
 	done := make(chan error, 1)
 	s.done = done
--- a/emul/exec.go
+++ b/emul/exec.go
@@ -159,13 +159,26 @@
 			return false
 		}
 		s.settings[st.name] = st.value
-		s.complete("SET")
+		s.complete(st.tag)
+	case discardStmt:
+		if s.txn != nil {
+			return false
+		}
+		s.discard()
+		s.complete("DISCARD ALL")
 	default:
 		return false
 	}
 	return true
 }
 
+// discard forgets the settings and prepared statements of the session.
+func (s *session) discard() {
+	clear(s.settings)
+	clear(s.statements)
+	clear(s.portals)
+}
+
 // complete sends CommandComplete, or keeps it until an implicit transaction
 // with writes has committed.
 func (s *session) complete(tag string) {
@@ -195,22 +208,22 @@
 // start takes the snapshot, holds the slot for the service time and sends the
 // position and the row description.
 func (s *session) start(ctx context.Context, p *portal) error {
-	var err error
 	switch st := p.stmt.(type) {
 	case writeStmt:
 		return s.startWrite(ctx, p, st)
 	case commitStmt:
 		return s.startCommit(ctx, p)
+	case discardStmt:
+		return &Error{stateActiveTxn, "DISCARD ALL cannot run inside a transaction block"}
 	case noopStmt:
 		p.cursor = tagCursor(st.tag)
 		return s.m.serve(ctx)
-	case showStmt:
-		p.cursor = rowsCursor(columnsOf(st), [][]string{{s.setting(st.name)}})
-	default:
-		if p.cursor, err = s.startRead(ctx, p); err != nil {
-			return err
-		}
 	}
+	c, err := s.startRead(ctx, p)
+	if err != nil {
+		return err
+	}
+	p.cursor = c
 	if p.describe {
 		s.sendRowDescription(p.cursor.cols, p.formats)
 	}
--- a/emul/extended.go
+++ b/emul/extended.go
@@ -70,6 +70,9 @@
 			p.params[i] = msg.ParameterOIDs[i]
 		}
 	}
+	if _, exists := s.statements[msg.Name]; exists && msg.Name != "" {
+		return &Error{stateDuplicate, "prepared statement already exists"}
+	}
 	s.statements[msg.Name] = p
 	s.send(&pgproto3.ParseComplete{})
 	return nil
--- a/emul/funcs.go
+++ b/emul/funcs.go
@@ -140,6 +140,12 @@
 // poll waits until cond holds under mu or the timeout has passed. It fails only
 // if ctx ends.
 func (m *Member) poll(ctx context.Context, timeout time.Duration, cond func() bool) error {
+	m.mu.Lock()
+	ok := cond()
+	m.mu.Unlock()
+	if ok {
+		return nil
+	}
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	m.await(limited, cond)
--- a/emul/member.go
+++ b/emul/member.go
@@ -38,6 +38,7 @@
 	maxConns    int
 	connectTime time.Duration
 	dial        DialFunc
+	network     *Network     // nil without a Network
 	members     int          // size of the group, for majorities
 	service     atomic.Int64 // nanoseconds that a statement holds its slot
 
@@ -108,6 +109,9 @@
 // WithDial sets how the member reaches other members.
 func WithDial(dial DialFunc) Option { return func(m *Member) { m.dial = dial } }
 
+// WithNetwork places the member in a Network, when a Server runs it.
+func WithNetwork(n *Network) Option { return func(m *Member) { m.network = n } }
+
 // WithMembers sets the size of the group.
 func WithMembers(n int) Option { return func(m *Member) { m.members = n } }
 
--- a/emul/parse.go
+++ b/emul/parse.go
@@ -117,7 +117,13 @@
 	case "rollback", "abort":
 		p.skipRest()
 		return rollbackStmt{}, nil
-	case "create", "drop", "reset", "discard", "deallocate", "analyze":
+	case "reset":
+		name, err := p.name()
+		return setStmt{tag: "RESET", name: name}, err
+	case "discard":
+		p.skipRest()
+		return discardStmt{}, nil
+	case "create", "drop", "deallocate", "analyze":
 		return p.noopStatement(strings.ToUpper(t.text)), nil
 	case "copy":
 		return nil, errCopy
@@ -156,7 +162,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := setStmt{name: name}
+	s := setStmt{tag: "SET", name: name}
 	if p.accept("=") || p.accept("to") {
 		s.value = p.peek().text
 	}
--- a/emul/session.go
+++ b/emul/session.go
@@ -150,6 +150,9 @@
 	if err != nil {
 		return eris.Wrap(err, "receive")
 	}
+	if err := s.m.gate(ctx); err != nil {
+		return err
+	}
 	if _, ok := msg.(*pgproto3.Sync); !ok {
 		s.sendPending()
 	}
@@ -328,7 +331,9 @@
 
 func (s *session) ready() error {
 	status := byte('I')
-	if s.txn != nil && s.txn.explicit {
+	if s.txn == nil {
+		clear(s.portals)
+	} else {
 		status = 'T'
 		if s.txn.failed {
 			status = 'E'
--- /dev/null
+++ b/emul/sleep_linux.go
@@ -0,0 +1,12 @@
+package emul
+
+import (
+	"syscall"
+	"time"
+)
+
+// preciseSleep blocks a thread for d. The kernel adds about 50 us of slack.
+func preciseSleep(d time.Duration) {
+	ts := syscall.NsecToTimespec(int64(d))
+	_ = syscall.Nanosleep(&ts, nil) // an interrupted sleep is only shorter
+}
