--- a/entry/backend.go
+++ b/entry/backend.go
@@ -2,21 +2,18 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/rotisserie/eris"
 
+	"tamarackcross/pgctl"
 	"tamarackcross/wire"
 )
 
-// DialFunc opens a connection to a backend server or to another instance.
-type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+// DialFunc opens a connection to a backend server.
+type DialFunc = pgctl.DialFunc
 
 // Credentials are what an entry presents to the backend servers.
 type Credentials struct {
@@ -24,9 +21,6 @@
 	Password string
 }
 
-// controlUser is the role whose calls do not use slots.
-const controlUser = "tamarackcross"
-
 // maxPrepared bounds the statements prepared on one backend connection.
 const maxPrepared = 512
 
@@ -65,33 +59,7 @@
 
 func (b *backendConn) unlearn(st *prepared) { delete(b.prepared, st.server) }
 
-// connect opens a connection as user and hands it over in the idle state.
-func connect(ctx context.Context, dial DialFunc, addr, database string, cred Credentials) (*pgconn.HijackedConn, error) {
-	host, portText, err := net.SplitHostPort(addr)
-	if err != nil {
-		return nil, eris.Wrapf(err, "address %q", addr)
-	}
-	port, err := strconv.ParseUint(portText, 10, 16)
-	if err != nil {
-		return nil, eris.Wrapf(err, "address %q", addr)
-	}
-	cfg, err := pgconn.ParseConfig("sslmode=disable host=127.0.0.1 user=" + controlUser)
-	if err != nil {
-		return nil, eris.Wrap(err, "connection settings")
-	}
-	cfg.Host, cfg.Port, cfg.Database = host, uint16(port), database
-	cfg.User, cfg.Password = cred.User, cred.Password
-	cfg.Fallbacks = nil
-	cfg.DialFunc = func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) }
-	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
-	pc, err := pgconn.ConnectConfig(ctx, cfg)
-	if err != nil {
-		return nil, err
-	}
-	return pc.Hijack()
-}
-
-// newBackendConn wraps a connection that connect opened.
+// newBackendConn wraps a connection that pgctl.Connect opened.
 func newBackendConn(m *member, h *pgconn.HijackedConn, now time.Time) *backendConn {
 	return &backendConn{
 		member:   m,
@@ -124,12 +92,3 @@
 	_, err = nc.Write(buf)
 	return err
 }
-
-// pgCode returns the SQLSTATE of an error of a backend server, or "".
-func pgCode(err error) string {
-	var e *pgconn.PgError
-	if errors.As(err, &e) {
-		return e.Code
-	}
-	return ""
-}
--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
 	"tamarackcross/errs"
 	"tamarackcross/group"
+	"tamarackcross/pgctl"
 )
 
 // confirmer asks the primary for its position after a majority has confirmed
@@ -20,7 +20,7 @@
 	next    *round
 	running bool
 	closed  bool
-	conn    *controlConn
+	conn    *pgctl.Conn
 	addr    string
 	wg      sync.WaitGroup
 }
@@ -40,7 +40,7 @@
 	c.mu.Unlock()
 	c.wg.Wait()
 	if c.conn != nil {
-		c.conn.close()
+		c.conn.Close()
 	}
 }
 
@@ -103,7 +103,7 @@
 	}
 	p, err := c.confirm(ctx, g)
 	if err != nil {
-		c.conn.close()
+		c.conn.Close()
 		c.conn = nil
 		return group.Position{}, refused
 	}
@@ -119,10 +119,10 @@
 		return nil
 	}
 	if c.conn != nil {
-		c.conn.close()
+		c.conn.Close()
 		c.conn = nil
 	}
-	conn, err := dialControl(ctx, c.db.srv.dial, b.Addr, c.db.name, c.db.srv.cred.Password)
+	conn, err := c.db.member(b).control(ctx)
 	if err != nil {
 		return err
 	}
@@ -131,26 +131,21 @@
 }
 
 func (c *confirmer) confirm(ctx context.Context, g Group) (group.Position, error) {
-	rows, err := c.conn.query(ctx, "SELECT group_watch(0, 0)")
-	if err != nil {
-		return group.Position{}, err
-	}
-	reports, err := parseReports(rows)
+	reports, err := c.conn.Watch(ctx, group.Position{}, 0)
 	if err != nil {
 		return group.Position{}, err
 	}
 	var held group.Position
 	for _, r := range reports {
-		if r.member == g.Primary {
-			held = r.held
+		if r.Member == g.Primary {
+			held = r.Held
 		}
 	}
-	sql := fmt.Sprintf("SELECT group_confirm(%d, %d, %d)", g.Term, held.Offset, watchPoll.Milliseconds())
-	rows, err = c.conn.query(ctx, sql)
+	ok, err := c.conn.Confirm(ctx, g.Term, held.Offset, watchPoll)
 	if err != nil {
 		return group.Position{}, err
 	}
-	if len(rows) != 1 || len(rows[0]) != 1 || rows[0][0] != "t" {
+	if !ok {
 		return group.Position{}, errReplaced
 	}
 	c.db.raise(held, time.Now())
--- a/entry/database.go
+++ b/entry/database.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 
 	"tamarackcross/errs"
 	"tamarackcross/group"
+	"tamarackcross/pgctl"
 	"tamarackcross/route"
 )
 
@@ -180,7 +180,7 @@
 		db.observe(b, g.Term, false)
 		return err
 	}
-	defer c.close()
+	defer c.Close()
 	var after group.Position
 	for ctx.Err() == nil {
 		now, ok := db.srv.dir.Group(db.name)
@@ -196,74 +196,44 @@
 	return ctx.Err()
 }
 
-func (db *database) dialWatch(ctx context.Context, b Backend) (*controlConn, error) {
+func (db *database) dialWatch(ctx context.Context, b Backend) (*pgctl.Conn, error) {
 	ctx, stop := context.WithTimeout(ctx, watchTimeout)
 	defer stop()
-	return dialControl(ctx, db.srv.dial, b.Addr, db.name, db.srv.cred.Password)
+	return db.member(b).control(ctx)
 }
 
 // watchOnce waits for news from the primary and returns the position that a
 // majority holds.
-func (db *database) watchOnce(ctx context.Context, c *controlConn, after group.Position) (group.Position, error) {
+func (db *database) watchOnce(ctx context.Context, c *pgctl.Conn, after group.Position) (group.Position, error) {
 	ctx, stop := context.WithTimeout(ctx, watchTimeout)
 	defer stop()
 	asked := time.Now()
-	rows, err := c.query(ctx, fmt.Sprintf("SELECT group_watch('%s', %d)", after, watchPoll.Milliseconds()))
-	if err != nil {
-		return after, err
-	}
-	reports, err := parseReports(rows)
+	reports, err := c.Watch(ctx, after, watchPoll)
 	if err != nil {
 		return after, err
 	}
 	return db.learn(reports, asked, time.Now()), nil
 }
 
-// report is one row of group_watch.
-type report struct {
-	member   string
-	held     group.Position
-	applied  group.Position
-	majority group.Position
-}
-
-func parseReports(rows [][]string) ([]report, error) {
-	out := make([]report, 0, len(rows))
-	for _, row := range rows {
-		if len(row) != 4 {
-			return nil, eris.Errorf("group_watch: %d columns, want 4", len(row))
-		}
-		r := report{member: row[0]}
-		for i, p := range []*group.Position{&r.held, &r.applied, &r.majority} {
-			var err error
-			if *p, err = group.ParsePosition(row[i+1]); err != nil {
-				return nil, eris.Wrap(err, "group_watch")
-			}
-		}
-		out = append(out, r)
-	}
-	return out, nil
-}
-
 // learn takes in what the primary reported. The primary answered after asked,
 // so its position covers every commit before that.
-func (db *database) learn(reports []report, asked, now time.Time) group.Position {
+func (db *database) learn(reports []pgctl.Report, asked, now time.Time) group.Position {
 	g, err := db.group()
 	if err != nil {
 		return group.Position{}
 	}
 	var top group.Position
 	for _, r := range reports {
-		if r.member == g.Primary {
-			db.sample(r.held, asked)
+		if r.Member == g.Primary {
+			db.sample(r.Held, asked)
 		}
 	}
 	for _, r := range reports {
-		if b, ok := g.Member(r.member); ok {
-			db.member(b).learn(r.applied, now)
+		if b, ok := g.Member(r.Member); ok {
+			db.member(b).learn(r.Applied, now)
 		}
-		db.raise(r.majority, now)
-		top = r.majority
+		db.raise(r.Majority, now)
+		top = r.Majority
 	}
 	return top
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"tamarackcross/group"
+	"tamarackcross/pgctl"
 )
 
 const followTimeout = 500 * time.Millisecond // of one call that waits for a replica
@@ -29,11 +29,11 @@
 // session that still waits starts it again.
 func (m *member) followLoop(ctx context.Context) {
 	defer m.followed()
-	c, err := dialControl(ctx, m.dial, m.addr, m.db.name, m.db.srv.cred.Password)
+	c, err := m.control(ctx)
 	if err != nil {
 		return
 	}
-	defer c.close()
+	defer c.Close()
 	for ctx.Err() == nil {
 		applied, _ := m.position()
 		if !m.wants(applied) {
@@ -59,18 +59,10 @@
 }
 
 // followOnce waits until the member has applied more than applied.
-func (m *member) followOnce(ctx context.Context, c *controlConn, applied group.Position) error {
+func (m *member) followOnce(ctx context.Context, c *pgctl.Conn, applied group.Position) error {
 	ctx, stop := context.WithTimeout(ctx, followTimeout)
 	defer stop()
-	sql := fmt.Sprintf("SELECT group_applied('%s', %d)", applied, watchPoll.Milliseconds())
-	rows, err := c.query(ctx, sql)
-	if err != nil {
-		return err
-	}
-	if len(rows) != 1 || len(rows[0]) != 1 {
-		return errNoAnswer
-	}
-	p, err := group.ParsePosition(rows[0][0])
+	p, err := c.Applied(ctx, applied, watchPoll)
 	if err != nil {
 		return err
 	}
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"tamarackcross/errs"
+	"tamarackcross/pgctl"
 )
 
 // keyTable holds the idempotency records. A record commits in the same
@@ -226,7 +227,7 @@
 		return "", err
 	}
 	if len(rows) != 1 || len(rows[0]) != 1 {
-		return "", errNoAnswer
+		return "", pgctl.ErrNoAnswer
 	}
 	return rows[0][0], nil
 }
@@ -287,7 +288,7 @@
 		return errs.Unknown, "", false
 	}
 	_, err = m.ask(ctx, insertKey(c.set.key, tombstone))
-	if err != nil && pgCode(err) != uniqueViolation {
+	if err != nil && pgctl.Code(err) != uniqueViolation {
 		return errs.Unknown, "", false
 	}
 	value, err := c.lookupKey(ctx, m)
--- a/entry/member.go
+++ b/entry/member.go
@@ -5,10 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"tamarackcross/errs"
 	"tamarackcross/group"
+	"tamarackcross/pgctl"
 )
 
 const (
@@ -141,7 +140,7 @@
 func (m *member) openConn(ctx context.Context) (*backendConn, error) {
 	ctx, stop := context.WithTimeout(ctx, connectTimeout)
 	defer stop()
-	h, err := connect(ctx, m.dial, m.addr, m.db.name, m.db.srv.cred)
+	h, err := pgctl.Connect(ctx, m.dial, m.target())
 	if err != nil {
 		m.closedOne()
 		return nil, errs.New(errs.NotRun, errs.ReasonConnect, "no connection to the backend server could be opened")
@@ -213,25 +212,33 @@
 	return m.alive
 }
 
-var errNoAnswer = eris.New("backend server gave no status")
-
 func (m *member) ping(ctx context.Context) error {
-	rows, err := m.ask(ctx, "SHOW group_status")
+	c, err := m.control(ctx)
 	if err != nil {
 		return err
 	}
-	if len(rows) != 1 {
-		return errNoAnswer
-	}
-	return nil
+	defer c.Close()
+	_, err = c.Status(ctx)
+	return err
+}
+
+// target says how to reach the member with the credentials of the entry.
+func (m *member) target() pgctl.Target {
+	cred := m.db.srv.cred
+	return pgctl.Target{Addr: m.addr, Database: m.db.name, User: cred.User, Password: cred.Password}
+}
+
+// control opens a connection of the control role.
+func (m *member) control(ctx context.Context) (*pgctl.Conn, error) {
+	return pgctl.Dial(ctx, m.dial, m.target())
 }
 
 // ask runs one statement of the proxy on a connection of its own.
 func (m *member) ask(ctx context.Context, sql string) ([][]string, error) {
-	c, err := dialControl(ctx, m.dial, m.addr, m.db.name, m.db.srv.cred.Password)
+	c, err := m.control(ctx)
 	if err != nil {
 		return nil, err
 	}
-	defer c.close()
-	return c.query(ctx, sql)
+	defer c.Close()
+	return c.Query(ctx, sql)
 }
