--- a/emul/group_test.go
+++ b/emul/group_test.go
@@ -1,6 +1,7 @@
 package emul_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 // site runs the commands of a script against one group.
 type site struct {
 	t     *testing.T
+	ctx   context.Context
 	g     *emul.Group
 	conns map[string]*pgx.Conn
 }
@@ -22,7 +24,7 @@
 // position, and against promotions that lose or bring back entries.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &site{t: t, conns: make(map[string]*pgx.Conn)}
+		s := &site{t: t, ctx: t.Context(), conns: make(map[string]*pgx.Conn)}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			s.t = t
 			return s.run(d)
@@ -49,11 +51,46 @@
 	case "wait":
 		s.wait(d, member)
 		return ""
+	case "position":
+		return s.conn("app", session, member).PgConn().ParameterStatus("group_position")
+	case "status":
+		return s.status()
+	case "stop":
+		s.stop(member)
+		return ""
+	case "start":
+		if err := s.g.Servers()[member-1].Start(s.ctx); err != nil {
+			s.t.Fatal(err)
+		}
+		return ""
 	}
 	d.Fatalf(s.t, "unknown command %s", d.Cmd)
 	return ""
 }
 
+// stop ends a member and forgets the connections to it.
+func (s *site) stop(member int) {
+	if err := s.g.Servers()[member-1].Stop(); err != nil {
+		s.t.Fatal(err)
+	}
+	for key := range s.conns {
+		if strings.HasSuffix(key, fmt.Sprint("@", member)) {
+			delete(s.conns, key)
+		}
+	}
+}
+
+// status shows what every member reports, without the random store identity.
+func (s *site) status() string {
+	var out strings.Builder
+	for _, srv := range s.g.Servers() {
+		st := srv.Member().Status()
+		fmt.Fprintf(&out, "%s %s term=%d fenced=%d held=%s applied=%s history=%s discarded=%v\n",
+			st.Member, st.Role, st.Term, st.FencedTerm, st.Held, st.Applied, st.History, srv.Member().Discarded())
+	}
+	return out.String()
+}
+
 // wait returns once the primary knows that every member has applied a position.
 func (s *site) wait(d *datadriven.TestData, member int) {
 	var position string
@@ -72,7 +109,7 @@
 }
 
 func (s *site) conn(user, session string, member int) *pgx.Conn {
-	key := fmt.Sprint(user, session, member)
+	key := fmt.Sprint(user, session, "@", member)
 	if s.conns[key] == nil {
 		s.conns[key] = connect(s.t, user, s.g.Addr(member-1))
 	}
--- a/emul/member.go
+++ b/emul/member.go
@@ -169,6 +169,9 @@
 // Service returns the time that each statement holds a slot.
 func (m *Member) Service() time.Duration { return time.Duration(m.service.Load()) }
 
+// Busy returns the number of slots in use.
+func (m *Member) Busy() int { return len(m.slots) }
+
 // Freeze stops the member from answering anything until Thaw, as a paused
 // process does. Everything that was in progress continues after Thaw.
 func (m *Member) Freeze() {
--- a/emul/server_test.go
+++ b/emul/server_test.go
@@ -4,11 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sourcegraph/conc"
 
 	"tamarackcross/emul"
 )
@@ -104,3 +108,179 @@
 		t.Errorf("sum %d, %v", sum, err)
 	}
 }
+
+// TestBatchIsOneTransaction guards against a pipeline whose statements commit
+// one by one: the error of the last must undo the first.
+func TestBatchIsOneTransaction(t *testing.T) {
+	g := startGroup(t, 1)
+	c := connect(t, "app", g.Addr(0))
+	exec(t, c, "INSERT INTO t VALUES ('a', '1')")
+	var b pgx.Batch
+	b.Queue("INSERT INTO t VALUES ($1, '1')", "b")
+	b.Queue("INSERT INTO t VALUES ($1, '1')", "a")
+	err := c.SendBatch(testContext(t), &b).Close()
+	if stateOf(err) != "23505" {
+		t.Errorf("got %v, want 23505", err)
+	}
+	if _, ok := g.Member(0).Value("t", "b"); ok {
+		t.Error("the first statement of a failed batch was committed")
+	}
+	exec(t, c, "SELECT 1")
+}
+
+// TestPortalLimit guards against a row limit that loses rows, and against a
+// commit position that is sent after CommandComplete.
+func TestPortalLimit(t *testing.T) {
+	g := startGroup(t, 1)
+	h, err := connect(t, "app", g.Addr(0)).PgConn().Hijack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Conn.Close()
+	h.Frontend.Send(&pgproto3.Parse{Query: "SELECT generate_series($1, $2)"})
+	h.Frontend.Send(&pgproto3.Describe{ObjectType: 'S'})
+	h.Frontend.Send(&pgproto3.Bind{Parameters: [][]byte{[]byte("1"), []byte("3")}})
+	h.Frontend.Send(&pgproto3.Execute{MaxRows: 2})
+	h.Frontend.Send(&pgproto3.Execute{MaxRows: 2})
+	h.Frontend.Send(&pgproto3.Parse{Name: "w", Query: "INSERT INTO t VALUES ('a', '1')"})
+	h.Frontend.Send(&pgproto3.Bind{PreparedStatement: "w"})
+	h.Frontend.Send(&pgproto3.Describe{ObjectType: 'P'})
+	h.Frontend.Send(&pgproto3.Execute{})
+	h.Frontend.Send(&pgproto3.Sync{})
+	h.Frontend.Send(&pgproto3.Bind{PreparedStatement: "none"})
+	h.Frontend.Send(&pgproto3.Execute{})
+	h.Frontend.Send(&pgproto3.Sync{})
+	if err := h.Frontend.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for ready := 0; ready < 2; {
+		msg, err := h.Frontend.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := strings.TrimPrefix(fmt.Sprintf("%T", msg), "*pgproto3.")
+		switch msg := msg.(type) {
+		case *pgproto3.ParameterStatus:
+			name = msg.Value
+		case *pgproto3.ErrorResponse:
+			name = msg.Code
+		case *pgproto3.ReadyForQuery:
+			ready++
+		}
+		got = append(got, name)
+	}
+	want := strings.Fields(`ParseComplete ParameterDescription RowDescription BindComplete
+		0/0 DataRow DataRow PortalSuspended DataRow CommandComplete
+		ParseComplete BindComplete NoData 1/1 CommandComplete ReadyForQuery 26000 ReadyForQuery`)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestConflictWaits guards against two transactions that both insert the same
+// key: the second must wait for the first and see its outcome.
+func TestConflictWaits(t *testing.T) {
+	for _, end := range []string{"COMMIT", "ROLLBACK"} {
+		g := startGroup(t, 1, emul.WithSlots(1))
+		first, second := connect(t, "app", g.Addr(0)), connect(t, "app", g.Addr(0))
+		exec(t, first, "BEGIN")
+		exec(t, first, "INSERT INTO t VALUES ('a', 'first')")
+		result := make(chan error, 1)
+		go func() {
+			_, err := second.Exec(context.Background(), "INSERT INTO t VALUES ('a', 'second')")
+			result <- err
+		}()
+		exec(t, first, "SELECT 1") // the waiting insert must not hold the only slot
+		select {
+		case err := <-result:
+			t.Fatalf("the second insert did not wait: %v", err)
+		case <-time.After(20 * time.Millisecond):
+		}
+		exec(t, first, end)
+		err := <-result
+		if committed := end == "COMMIT"; committed != (stateOf(err) == "23505") {
+			t.Errorf("after %s: %v", end, err)
+		}
+	}
+}
+
+// TestCancel guards against statements that cannot be cancelled while they
+// sleep, wait for a slot or wait for a lock.
+func TestCancel(t *testing.T) {
+	g := startGroup(t, 1, emul.WithSlots(1))
+	holder := connect(t, "app", g.Addr(0))
+	exec(t, holder, "BEGIN")
+	exec(t, holder, "INSERT INTO t VALUES ('a', '1')")
+	sleep, slot, lock := connect(t, "app", g.Addr(0)), connect(t, "app", g.Addr(0)), connect(t, "app", g.Addr(0))
+	results := make(map[*pgx.Conn]chan error)
+	start := func(c *pgx.Conn, sql string) {
+		result := make(chan error, 1)
+		results[c] = result
+		go func() {
+			_, err := c.Exec(context.Background(), sql)
+			result <- err
+		}()
+	}
+	start(sleep, "SELECT pg_sleep(100)")
+	eventually(t, func() bool { return g.Member(0).Busy() == 1 })
+	start(lock, "INSERT INTO t VALUES ('a', '2')")
+	start(slot, "SELECT 1")
+	for _, c := range []*pgx.Conn{lock, slot, sleep} {
+		var err error
+		eventually(t, func() bool { // a cancel that comes before its statement has no effect
+			if err := c.PgConn().CancelRequest(testContext(t)); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case err = <-results[c]:
+				return true
+			default:
+				return false
+			}
+		})
+		if stateOf(err) != "57014" {
+			t.Errorf("got %v, want 57014", err)
+		}
+	}
+	exec(t, holder, "COMMIT")
+}
+
+// TestConnectionLimit guards against a limit that also keeps out the roles that
+// watch and replicate.
+func TestConnectionLimit(t *testing.T) {
+	g := startGroup(t, 1, emul.WithConnections(1), emul.WithSlots(1))
+	first := connect(t, "app", g.Addr(0))
+	_, err := pgx.Connect(testContext(t), "postgres://app@"+g.Addr(0)+"/db?sslmode=disable")
+	if stateOf(err) != "53300" {
+		t.Errorf("got %v, want 53300", err)
+	}
+	exec(t, connect(t, "tamarackcross", g.Addr(0)), "SHOW group_status")
+	if err := first.Close(testContext(t)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool {
+		c, err := pgx.Connect(testContext(t), "postgres://app@"+g.Addr(0)+"/db?sslmode=disable")
+		return err == nil && c.Close(testContext(t)) == nil
+	})
+}
+
+// TestSlots guards against more statements at once than there are slots.
+func TestSlots(t *testing.T) {
+	const clients, slots, service = 6, 2, 10 * time.Millisecond
+	g := startGroup(t, 1, emul.WithSlots(slots), emul.WithService(service))
+	started := time.Now()
+	var wg conc.WaitGroup
+	for range clients {
+		c := connect(t, "app", g.Addr(0))
+		wg.Go(func() {
+			if _, err := c.Exec(context.Background(), "SELECT 1"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	if took, least := time.Since(started), clients/slots*service; took < least {
+		t.Errorf("%d statements took %v in %d slots, want at least %v", clients, took, slots, least)
+	}
+}
