emul: faster replacement of silent replication connections, fewer allocations

A replica noticed a silent connection to its primary after 1.25 s, which alone is more than half of the goal for a failover; the limit is now 0.75 s. A member that is frozen right after its start stays frozen: the start used to thaw it. A Query between an error and Sync is skipped, as the protocol asks. Callers is there for a command that drains its member.

--- a/emul/bench_test.go
+++ b/emul/bench_test.go
@@ -1,7 +1,10 @@
 package emul_test
 
 import (
+	"context"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 
@@ -51,6 +54,31 @@
 	}
 }
 
+// BenchmarkNetwork measures one prepared read with a latency of 0.5 ms each way.
+func BenchmarkNetwork(b *testing.B) {
+	n := emul.NewNetwork(emul.WithLatency("a", "b", 500*time.Microsecond))
+	b.Cleanup(n.Close)
+	g, err := emul.StartGroup(b.Context(), "db", []string{"a"}, emul.WithNetwork(n))
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg, err := pgx.ParseConfig("postgres://app@" + g.Addr(0) + "/db?sslmode=disable")
+	if err != nil {
+		b.Fatal(err)
+	}
+	dial := n.Dialer("entry", "b")
+	cfg.DialFunc = func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) }
+	c, err := pgx.ConnectConfig(b.Context(), cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := c.Exec(b.Context(), "SELECT v FROM t WHERE k = $1", "a"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkRows measures one row of a large result.
 func BenchmarkRows(b *testing.B) {
 	c := benchmarkConn(b, 1)
--- a/emul/link.go
+++ b/emul/link.go
@@ -1,6 +1,7 @@
 package emul
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -62,7 +63,7 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	c := chunk{data: append([]byte(nil), p...), due: l.due()}
+	c := chunk{data: bytes.Clone(p), due: l.due()}
 	if err := l.out.write(c); err != nil {
 		return 0, err
 	}
@@ -144,11 +145,11 @@
 
 // receiveLoop reads the socket. The end of the stream travels like data.
 func (l *link) receiveLoop() {
+	buf := make([]byte, readSize)
 	for {
-		buf := make([]byte, readSize)
 		n, err := l.Conn.Read(buf)
 		if n > 0 {
-			if l.in.push(chunk{data: buf[:n], due: l.due()}) != nil {
+			if l.in.push(chunk{data: bytes.Clone(buf[:n]), due: l.due()}) != nil {
 				return
 			}
 		}
--- a/emul/member.go
+++ b/emul/member.go
@@ -154,8 +154,9 @@
 	m.notify()
 }
 
-// SetShipLag delays the acknowledgement of received entries, as a slow link
-// would.
+// SetShipLag delays the acknowledgement of received entries. An entry that is
+// written during the delay is only fetched after it, so that its own
+// acknowledgement can take twice as long.
 func (m *Member) SetShipLag(d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -172,6 +173,13 @@
 // Busy returns the number of slots in use.
 func (m *Member) Busy() int { return len(m.slots) }
 
+// Callers returns the number of connections that count against the limit.
+func (m *Member) Callers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.callers
+}
+
 // Freeze stops the member from answering anything until Thaw, as a paused
 // process does. Everything that was in progress continues after Thaw.
 func (m *Member) Freeze() {
--- a/emul/replicate.go
+++ b/emul/replicate.go
@@ -14,7 +14,8 @@
 
 const (
 	fetchPoll    = 250 * time.Millisecond // a fetch without news is answered after this time
-	fetchLimit   = time.Second            // a connection that is silent for longer is replaced
+	fetchLimit   = 500 * time.Millisecond // a connection whose answer is late by this time is replaced
+	connectLimit = time.Second            // opening a connection takes at most this long
 	followWait   = time.Second            // group_follow waits for the primary this long
 	backoffFirst = 5 * time.Millisecond   // pause after the first failed connection
 	backoffLast  = 200 * time.Millisecond // longest pause between connections
@@ -147,6 +148,9 @@
 		if round, err = m.fetchOnce(ctx, r, t, round); err != nil {
 			return n > 0, err
 		}
+		if !wait(ctx, m.currentShipLag()) {
+			return true, ctx.Err()
+		}
 	}
 }
 
@@ -189,9 +193,6 @@
 // fetchOnce acknowledges what the member holds, waits for new entries and
 // appends them. It returns the confirmation round to echo.
 func (m *Member) fetchOnce(ctx context.Context, r *replication, t *target, round uint64) (uint64, error) {
-	if lag := m.currentShipLag(); !wait(ctx, lag) {
-		return 0, ctx.Err()
-	}
 	sql, ok := m.fetchStatement(t, round)
 	if !ok {
 		return 0, eris.New("member follows another primary")
--- a/emul/server.go
+++ b/emul/server.go
@@ -28,6 +28,7 @@
 	ended := ctx.Err() != nil
 	cancel()
 	wg.Wait()
+	m.Thaw()
 	if ended {
 		return nil
 	}
@@ -37,7 +38,6 @@
 // restart forgets what a process keeps only in memory. The confirmation round
 // keeps its value, so that a replica cannot answer a round with an old number.
 func (m *Member) restart() {
-	m.Thaw()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.acks = make(map[string]ack)
--- a/emul/session.go
+++ b/emul/session.go
@@ -158,6 +158,9 @@
 	}
 	switch msg := msg.(type) {
 	case *pgproto3.Query:
+		if s.skip {
+			return nil
+		}
 		return s.simpleQuery(ctx, msg.String)
 	case *pgproto3.Sync:
 		return s.sync()
--- a/emul/wire.go
+++ b/emul/wire.go
@@ -16,7 +16,7 @@
 
 // openReplication connects to a primary as the replicator role.
 func (m *Member) openReplication(ctx context.Context, addr string) (*replication, error) {
-	limited, cancel := context.WithTimeout(ctx, fetchLimit)
+	limited, cancel := context.WithTimeout(ctx, connectLimit)
 	defer cancel()
 	nc, err := m.dial(limited, addr)
 	if err != nil {
