share: divide long work apart and return idle units sooner

Three causes: waiting long work counted as demand for slots that it could not use; an entry whose only slot ran long work had its part of the slots used up for half a second; idle slots stayed with their holders for 50 ms.

Long work is now divided first and its slots are set apart, so the others are divided among short work alone. Idle slots return after 1 ms for 5 s after contention, else after one lease.

Contention now means that others wait, so a lone entry does not see its own demand as contention.

--- a/share/broker.go
+++ b/share/broker.go
@@ -7,6 +7,7 @@
 // call of a method.
 type Broker struct {
 	epoch     uint64
+	total     Amount // sum of what the records count
 	limit     Amount
 	lease     time.Duration
 	linger    time.Duration
@@ -16,7 +17,8 @@
 	seq       uint64 // newest grant, over all holders: records come and go
 	records   map[holderID]*record
 	order     []*record // in the order of their first Ask
-	contended bool
+	missing   Amount    // what holders could use beyond what they hold
+	free      Amount    // at the last division
 	out       []Grant
 	fair      []*record // candidates of the fair division, kept to be reused
 }
@@ -97,7 +99,7 @@
 	r.accept(a, b.epoch, now, now.Add(b.lease+b.linger))
 	b.expire(now)
 	b.divide(now)
-	b.grant(r, b.room(r, b.Granted(now), now), now)
+	b.grant(r, b.room(r), now)
 	b.push(now)
 	return b.out
 }
@@ -127,7 +129,7 @@
 	switch {
 	case len(b.order) == 0:
 		return time.Time{}
-	case b.contended:
+	case b.missing.exceeds(Amount{}):
 		return now.Add(b.lease / gapPart)
 	default:
 		return now.Add(b.lease / renewPart)
@@ -184,18 +186,21 @@
 	return r
 }
 
-// expire forgets holders that are silent and have nothing in use any more. A
+// expire counts what the holders may have in use, and forgets holders that are silent and have nothing in use any more. A
 // silent holder wants nothing, so it takes no part in the division.
 func (b *Broker) expire(now time.Time) {
 	kept := b.order[:0]
+	b.total = Amount{}
 	for _, r := range b.order {
 		if now.Sub(r.heard) > b.lease {
 			r.want = Amount{}
 		}
-		if r.want == (Amount{}) && r.counted(now) == (Amount{}) && now.Sub(r.heard) > b.lease {
+		r.count = r.counted(now)
+		if r.want == (Amount{}) && r.count == (Amount{}) && now.Sub(r.heard) > b.lease {
 			delete(b.records, r.id)
 			continue
 		}
+		b.total = b.total.plus(r.count)
 		kept = append(kept, r)
 	}
 	clear(b.order[len(kept):])
@@ -203,16 +208,19 @@
 }
 
 // room returns what r may be granted now: its target, limited by what all
-// others may have in use. Total is the sum over all holders.
-func (b *Broker) room(r *record, total Amount, now time.Time) Amount {
-	others := total.minus(r.counted(now))
-	return r.target.min(b.limit.minus(others)).valid()
+// others may have in use.
+func (b *Broker) room(r *record) Amount {
+	others := b.total.minus(r.count)
+	return r.target().min(b.limit.minus(others)).valid()
 }
 
 func (b *Broker) grant(r *record, amount Amount, now time.Time) {
 	length := b.length(now)
 	b.seq++
 	r.issued(b.seq, amount, now, now.Add(length+b.linger))
+	b.total = b.total.minus(r.count)
+	r.count = r.counted(now)
+	b.total = b.total.plus(r.count)
 	b.out = append(b.out, Grant{
 		Holder:      r.id.name,
 		Incarnation: r.id.incarnation,
@@ -222,8 +230,8 @@
 		Amount:      amount,
 		Length:      length,
 		Linger:      b.linger,
-		Counted:     r.counted(now),
-		Contended:   b.contended,
+		Counted:     r.count,
+		Contended:   b.contended(r),
 	})
 }
 
@@ -233,25 +241,26 @@
 func (b *Broker) push(now time.Time) {
 	for _, r := range b.order {
 		recent := now.Sub(r.grantedAt) < b.lease/gapPart
-		if b.contended && !recent && b.reachable(r, now) && r.granted.exceeds(r.target) {
-			b.grant(r, r.granted.min(r.target).valid(), now)
+		if !recent && b.reachable(r, now) && b.reduces(r) {
+			b.grant(r, r.held.min(r.target()).valid(), now)
 		}
 	}
-	total := b.Granted(now)
 	for _, r := range b.order {
-		if !r.target.exceeds(r.granted) || !b.reachable(r, now) {
+		if !r.target().exceeds(r.held) || !b.reachable(r, now) {
 			continue
 		}
-		amount := b.room(r, total, now)
-		if !amount.exceeds(r.granted) {
-			continue
+		if amount := b.room(r); amount.exceeds(r.held) {
+			b.grant(r, amount, now)
 		}
-		total = total.minus(r.counted(now))
-		b.grant(r, amount, now)
-		total = total.plus(r.counted(now))
 	}
 }
 
+func (b *Broker) reduces(r *record) bool {
+	over := r.held.minus(r.target())
+	contended := b.contended(r)
+	return contended.Units && over.Units > 0 || contended.Long && over.Long > 0
+}
+
 func (b *Broker) reachable(r *record, now time.Time) bool {
 	return now.Sub(r.heard) <= b.lease/2
 }
--- a/share/divide.go
+++ b/share/divide.go
@@ -13,45 +13,63 @@
 	reported time.Duration // how long its oldest request waits
 }
 
-// kind selects the part of an amount that is divided.
+// kind selects what is divided.
 type kind int
 
 const (
-	allUnits kind = iota
-	longUnits
+	longUnits  kind = iota
+	shortUnits      // all units but those reserved for long work
 )
 
-func (k kind) of(a Amount) int {
-	if k == longUnits {
-		return a.Long
+// divide sets the target of each holder: the max-min fair division of the limit
+// by demand. The units left over rotate by the longest wait. Long work is
+// divided first and its units are set apart: a holder whose only unit runs long
+// work would otherwise have none for its short work until that ends.
+func (b *Broker) divide(now time.Time) {
+	b.divideKind(longUnits, b.limit.Long, now)
+	b.divideKind(shortUnits, b.limit.Units-b.reserve(), now)
+	b.leave()
+	b.missing = Amount{}
+	for _, r := range b.order {
+		b.missing = b.missing.plus(r.missing())
 	}
-	return a.Units
+	b.free = b.limit.minus(b.total).max(Amount{})
 }
 
-func (k kind) set(a *Amount, n int) {
-	if k == longUnits {
-		a.Long = n
-		return
+// contended reports whether holders other than r wait for more than is free.
+func (b *Broker) contended(r *record) Contended {
+	others := b.missing.minus(r.missing())
+	return Contended{
+		Units: others.Units > b.free.Units,
+		Long:  others.Long > b.free.Long,
 	}
-	a.Units = n
 }
 
-// divide sets the target of each holder: the max-min fair division of the limit
-// by demand. The units left over rotate by the longest wait.
-func (b *Broker) divide(now time.Time) {
-	want := b.Wanted()
-	b.contended = want.exceeds(b.limit)
-	b.divideKind(allUnits, now)
-	b.divideKind(longUnits, now)
+// reserve sets units apart for the long work that runs and, up to the limit of
+// long work, for long work that may start. It returns their number.
+func (b *Broker) reserve() int {
+	sum := 0
+	for _, r := range b.order {
+		r.reserved = min(r.inUse.Long, r.want.Long)
+		sum += r.reserved
+	}
+	for _, r := range b.order {
+		more := min(r.part[longUnits]-r.reserved, b.limit.Long-sum)
+		if more > 0 {
+			r.reserved += more
+			sum += more
+		}
+	}
+	return sum
 }
 
-func (b *Broker) divideKind(k kind, now time.Time) {
-	limit := k.of(b.limit)
+func (b *Broker) divideKind(k kind, limit int, now time.Time) {
+	limit = max(0, limit)
 	level, rest := b.level(k, limit)
 	b.fair = b.fair[:0]
 	for _, r := range b.order {
-		w := k.wanted(r)
-		k.set(&r.target, min(w, level))
+		w := r.wanted(k)
+		r.part[k] = min(w, level)
 		t := &r.turns[k]
 		if w <= level {
 			*t = turn{reported: t.reported}
@@ -65,12 +83,49 @@
 	b.rotate(k, rest, now)
 }
 
-// wanted returns the demand of r. Long work is bounded by the units that r gets.
-func (k kind) wanted(r *record) int {
+// wanted returns the demand of r.
+func (r *record) wanted(k kind) int {
 	if k == longUnits {
-		return min(r.want.Long, r.target.Units)
+		return r.want.Long
+	}
+	return r.want.Units - r.want.Long
+}
+
+// missing returns what r could use beyond what it holds.
+func (r *record) missing() Amount {
+	need := Amount{Units: r.wanted(shortUnits) + r.reserved, Long: r.want.Long}
+	return need.minus(r.held).max(Amount{})
+}
+
+// target returns what r should have by its parts.
+func (r *record) target() Amount {
+	return Amount{
+		Units: r.part[shortUnits] + r.reserved + r.spare.Units,
+		Long:  r.part[longUnits] + r.spare.Long,
+	}.valid()
+}
+
+// served reports whether r has been granted its part.
+func (r *record) served(k kind) bool {
+	if k == longUnits {
+		return r.granted.Long >= r.part[longUnits]
+	}
+	return r.granted.Units >= r.part[shortUnits]+r.reserved
+}
+
+// leave lets holders keep units that nobody wants, so that a holder with a
+// steady trickle of requests does not ask for each of them.
+func (b *Broker) leave() {
+	rest := b.limit
+	for _, r := range b.order {
+		r.spare = Amount{}
+		rest = rest.minus(r.target())
+	}
+	for _, r := range b.order {
+		rest = rest.max(Amount{})
+		r.spare = r.held.minus(r.target()).max(Amount{}).min(rest)
+		rest = rest.minus(r.spare)
 	}
-	return r.want.Units
 }
 
 // level returns the largest number of units that each holder can get up to its
@@ -91,7 +146,7 @@
 func (b *Broker) sumAt(k kind, level int) int {
 	sum := 0
 	for _, r := range b.order {
-		sum += min(k.wanted(r), level)
+		sum += min(r.wanted(k), level)
 	}
 	return sum
 }
@@ -112,9 +167,9 @@
 		t := &r.turns[k]
 		extra := n < rest
 		if extra {
-			k.set(&r.target, k.of(r.target)+1)
+			r.part[k]++
 		}
-		if extra != t.extra || extra && k.of(r.granted) < k.of(r.target) {
+		if extra != t.extra || extra && !r.served(k) {
 			t.extra, t.since = extra, now // the quantum starts with the grant
 		}
 	}
--- a/share/holder.go
+++ b/share/holder.go
@@ -13,7 +13,10 @@
 const maxSent = 64
 
 // Holder is the side of one instance in the leases of one backend server. It is
-// not safe for concurrent use.
+// not safe for concurrent use. Usable may drop in Ask (units given back), in
+// Receive and at Expires. The instance has to apply it to its queue before it
+// starts anything else, and before it sends the Ask: a request started on a unit
+// that was just given back would exceed the limit.
 type Holder struct {
 	name        string
 	incarnation uint64
@@ -24,7 +27,8 @@
 	lease       time.Duration
 	linger      time.Duration
 	expires     time.Time // end of the grant in force by the own clock
-	contended   bool
+	contended   Contended
+	tense       time.Time // when others last waited for units
 	number      uint64
 	sent        [maxSent]time.Time
 	last        Ask       // newest Ask
@@ -83,6 +87,9 @@
 	h.expires = start.Add(g.Length - g.Length/driftPart)
 	h.allowed = g.Amount.valid()
 	h.contended = g.Contended
+	if h.contended != (Contended{}) {
+		h.tense = now
+	}
 	h.counted = g.Counted
 	h.answered = max(h.answered, g.Answers)
 	return true
@@ -93,12 +100,13 @@
 // is in force. Units given back are no longer usable when Ask returns.
 func (h *Holder) Ask(d Demand, now time.Time) (Ask, bool) {
 	want := d.Busy.plus(d.Waiting)
-	h.noteIdle(want, now)
+	need := h.need(d, now)
+	h.noteIdle(need, now)
 	if !h.due(d, want, now) {
 		return Ask{}, false
 	}
-	if h.gives(want, now) {
-		h.allowed = h.allowed.min(want)
+	if h.gives(need, now) {
+		h.allowed = h.allowed.min(need).valid()
 		h.idle = time.Time{}
 	}
 	h.number++
@@ -110,7 +118,7 @@
 		Epoch:       h.epoch,
 		Keep:        h.Usable(now),
 		Busy:        d.Busy,
-		Want:        want.max(h.Usable(now)),
+		Want:        want,
 	}
 	if h.granted == h.epoch {
 		a.Applied = h.seq
@@ -175,15 +183,24 @@
 	if want.exceeds(usable) && want.exceeds(h.last.Want) {
 		return true
 	}
-	if h.contended && h.answered == h.number && h.counted.exceeds(d.Busy.max(usable)) {
+	if h.answered == h.number && h.contended.part(h.counted).exceeds(d.Busy.max(usable)) {
 		return true
 	}
-	return h.gives(want, now)
+	return h.gives(h.need(d, now), now)
+}
+
+// need returns the part of the demand that can use units now: waiting long work
+// needs a unit only if a long one is free for it.
+func (h *Holder) need(d Demand, now time.Time) Amount {
+	free := max(0, h.Usable(now).Long-d.Busy.Long)
+	idle := max(0, d.Waiting.Long-free)
+	all := d.Busy.plus(d.Waiting)
+	return Amount{Units: all.Units - idle, Long: all.Long}
 }
 
-func (h *Holder) noteIdle(want Amount, now time.Time) {
+func (h *Holder) noteIdle(need Amount, now time.Time) {
 	switch {
-	case !h.Usable(now).exceeds(want):
+	case !h.Usable(now).exceeds(need):
 		h.idle = time.Time{}
 	case h.idle.IsZero():
 		h.idle = now
@@ -192,9 +209,27 @@
 
 // gives reports whether units that are not wanted are given back: at once if
 // others wait, otherwise after a short idle time.
-func (h *Holder) gives(want Amount, now time.Time) bool {
-	if !h.Usable(now).exceeds(want) || h.idle.IsZero() {
+func (h *Holder) gives(need Amount, now time.Time) bool {
+	if !h.Usable(now).exceeds(need) || h.idle.IsZero() {
 		return false
 	}
-	return h.contended || now.Sub(h.idle) >= h.lease/idlePart
+	if h.contended.part(h.Usable(now)).exceeds(need) {
+		return true
+	}
+	keep := h.lease / calmPart
+	if now.Sub(h.tense) < calmLeases*h.lease {
+		keep = h.lease / idlePart
+	}
+	return now.Sub(h.idle) >= keep
+}
+
+// part returns the parts of a that others wait for.
+func (c Contended) part(a Amount) Amount {
+	if !c.Units {
+		a.Units = 0
+	}
+	if !c.Long {
+		a.Long = 0
+	}
+	return a
 }
--- a/share/record.go
+++ b/share/record.go
@@ -12,9 +12,15 @@
 	number    uint64 // newest Ask
 	heard     time.Time
 	want      Amount
-	target    Amount // part in the fair division
-	turns     [2]turn
-	granted   Amount // of the newest grant
+	inUse     Amount  // as reported
+	held      Amount  // of the newest grant, less what was given back of it
+	count     Amount  // what counts as in use at the current event
+	seq       uint64  // newest grant
+	part      [2]int  // by kind, in the fair division
+	reserved  int     // units set apart for long work
+	spare     Amount  // held and wanted by nobody
+	turns     [2]turn // by kind
+	granted   Amount  // of the newest grant
 	grantedAt time.Time
 	keep      claim // of acknowledged grants
 	busy      claim
@@ -34,6 +40,7 @@
 	r.number = a.Number
 	r.heard = now
 	r.want = a.Want.max(a.Busy).valid()
+	r.inUse = a.Busy.valid()
 	r.busy = claim{amount: a.Busy, until: later(r.busy.until, until)}
 	for kind := range r.turns {
 		r.turns[kind].reported = min(max(0, a.Waiting), MaxLease)
@@ -48,10 +55,14 @@
 		r.grants = append(r.grants[:0], r.grants[1:]...)
 	}
 	r.keep.amount = a.Keep
+	if a.Applied == r.seq {
+		r.held = a.Keep.valid()
+	}
 }
 
 func (r *record) issued(seq uint64, amount Amount, now, until time.Time) {
-	r.granted, r.grantedAt = amount, now
+	r.seq = seq
+	r.granted, r.held, r.grantedAt = amount, amount, now
 	n := len(r.grants)
 	if n > 0 && (r.grants[n-1].amount == amount || n == maxOutstanding) {
 		last := &r.grants[n-1]
@@ -64,7 +75,7 @@
 }
 
 func (r *record) clear() {
-	r.want, r.granted = Amount{}, Amount{}
+	r.want, r.inUse, r.granted, r.held = Amount{}, Amount{}, Amount{}, Amount{}
 	r.keep, r.busy, r.grants = claim{}, claim{}, nil
 }
 
--- a/share/share.go
+++ b/share/share.go
@@ -60,9 +60,13 @@
 	Length      time.Duration
 	Linger      time.Duration
 	Counted     Amount // what the broker counts as in use by the holder
-	Contended   bool   // other holders wait for units
+	Contended   Contended
 }
 
+// Contended says whether other holders wait for units, of any kind or for long
+// work.
+type Contended struct{ Units, Long bool }
+
 const (
 	// MaxLease is the longest time for which a grant has effect, with the linger
 	// time of work that runs at its expiry.
@@ -82,13 +86,20 @@
 	quantumPart = 2
 	// renewPart is how often a holder renews: three answers may be lost.
 	renewPart = 4
-	// idlePart is how long a holder keeps a unit that nobody else waits for, so
-	// that a steady trickle of requests does not ask for each of them.
-	idlePart = 4
+	// idlePart is how long a holder keeps an idle unit after others have waited
+	// for units within the last calmLeases leases. Without such contention it
+	// keeps the unit for calmPart, so that a steady trickle of requests does not
+	// ask for each of them.
+	idlePart = 200
+	calmPart = 1
 	// gapPart is the shortest time between two messages to one peer.
-	gapPart = 40
+	gapPart = 100
 )
 
+// calmLeases is the number of leases without contention after which holders keep
+// idle units for longer.
+const calmLeases = 25
+
 func (a Amount) max(b Amount) Amount {
 	return Amount{max(a.Units, b.Units), max(a.Long, b.Long)}
 }
