shape: close two ways in which a write could be taken for a read

Found by review. After a common table expression and a parenthesised SELECT, a call in ORDER BY was taken for the name of a further expression (with a as (select 1) (select 1 as x) order by (x), nextval('s')). And with standard_conforming_strings off a string ends elsewhere after a backslash and a quote, so such a text is no proof of a read.

--- a/shape/judge.go
+++ b/shape/judge.go
@@ -163,6 +163,11 @@
 }
 
 func (j *judge) open() {
+	// Only a common table expression has a word before its parenthesis. After
+	// one that stands alone, no further expression can be defined.
+	if j.depth == 0 && j.prevKind != tokenWord && j.prevKind != tokenQuoted {
+		j.header = false
+	}
 	j.depth++
 	if j.prevKind == tokenWord && j.last == keyIn {
 		j.list = listOpen
@@ -296,7 +301,7 @@
 		s.kind = Other
 	case j.mode == modeStart && j.prevKind == tokenEnd:
 		s.kind = Empty
-	case j.mode == modeRead && !j.suspect:
+	case j.mode == modeRead && !j.suspect && !j.scan.doubtful:
 		s.kind = Read
 	case j.mode == modeRead:
 		s.kind = Write
--- a/shape/scan.go
+++ b/shape/scan.go
@@ -27,6 +27,9 @@
 	text   string
 	pos    int
 	broken bool // a string, an identifier or a comment has no end
+	// doubtful is set by a backslash in front of a quote in a plain string: with
+	// standard_conforming_strings off, the string ends elsewhere.
+	doubtful bool
 }
 
 func isSpace(c byte) bool { return c == ' ' || c >= '\t' && c <= '\r' }
@@ -196,6 +199,7 @@
 			return
 		}
 		s.pos += n + 1
+		s.doubtful = s.doubtful || quote == '\'' && s.text[s.pos-2] == '\\'
 		if s.at(0) != quote {
 			return
 		}
--- a/shape/shape.go
+++ b/shape/shape.go
@@ -1,6 +1,10 @@
 // Package shape classifies SQL text by its effect and computes a fingerprint
 // of its normalised form. It reads the text once, in linear time, and treats
 // everything that it cannot prove to be a read as a write.
+//
+// The proof is lexical. It does not see side effects of views, of user-defined
+// operators, casts and overloads of listed functions, or of functions called in
+// the notation of a column. A replica must refuse writes in any case.
 package shape
 
 import "strings"
