route: separate the overflow to the primary from the penalty of lag

The penalty that Balance adapts can reach 2 s, and it also kept reads in the queues of overloaded replicas while the primary had free slots. A separate limit now governs that case.

Samples are searched by bisection instead of from the oldest.

--- a/route/read.go
+++ b/route/read.go
@@ -20,7 +20,7 @@
 		m = spare
 	}
 	if m != nil {
-		if primary != nil && s.cost(m) > s.primaryCost(primary) {
+		if primary != nil && s.cost(m) > s.cost(primary)+s.overflow {
 			return s.usePrimary(primary)
 		}
 		return Use{Name: m.Name, Need: s.need}
--- a/route/route.go
+++ b/route/route.go
@@ -96,6 +96,7 @@
 	farLatency time.Duration
 	farMargin  time.Duration
 	penalty    time.Duration
+	overflow   time.Duration
 	maxWait    time.Duration
 	slack      time.Duration
 	fresh      time.Duration
@@ -118,6 +119,10 @@
 // slots for writes, when the group carries none.
 func WithPenalty(d time.Duration) Option { return func(p *Policy) { p.penalty = d } }
 
+// WithOverflow sets how much longer the queue of a replica must be than that of
+// the primary before the primary takes the read.
+func WithOverflow(d time.Duration) Option { return func(p *Policy) { p.overflow = d } }
+
 // WithMaxWait bounds the total wait for a replica.
 func WithMaxWait(d time.Duration) Option { return func(p *Policy) { p.maxWait = d } }
 
@@ -137,6 +142,11 @@
 	DefaultFarMargin = 2 * time.Millisecond
 	// DefaultPenalty is used without a Balance.
 	DefaultPenalty = 200 * time.Millisecond
+	// DefaultOverflow lets the primary help overloaded replicas. In the
+	// experiment of wait_test.go with 10 ms think time, 20 ms lowers the replica
+	// share to 0.88 at 100 sessions, where 50 ms keeps 0.97; without overflow 200
+	// sessions get 2803 instead of 3329 reads/s.
+	DefaultOverflow = 50 * time.Millisecond
 	// DefaultMaxWait covers the largest lag of the replica share goal (500 ms)
 	// with room for errors of the estimate.
 	DefaultMaxWait = time.Second
@@ -156,6 +166,7 @@
 		farLatency: DefaultFarLatency,
 		farMargin:  DefaultFarMargin,
 		penalty:    DefaultPenalty,
+		overflow:   DefaultOverflow,
 		maxWait:    DefaultMaxWait,
 		slack:      estimateSlack,
 		fresh:      DefaultFresh,
--- a/route/samples.go
+++ b/route/samples.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"sort"
 	"time"
 
 	"tamarackcross/group"
@@ -59,12 +60,17 @@
 	if s == nil {
 		return group.Position{}, false
 	}
-	for _, x := range s.list {
-		if !x.at.Before(t) && x.position.Term >= term {
-			return x.position, true
-		}
+	i := sort.Search(len(s.list), func(i int) bool {
+		return !s.list[i].at.Before(t) && s.list[i].position.Term >= term
+	})
+	return s.get(i)
+}
+
+func (s *Samples) get(i int) (group.Position, bool) {
+	if i == len(s.list) {
+		return group.Position{}, false
 	}
-	return group.Position{}, false
+	return s.list[i].position, true
 }
 
 // Reached returns the time of the oldest sample at or beyond p, an upper bound
@@ -73,10 +79,9 @@
 	if s == nil {
 		return time.Time{}, false
 	}
-	for _, x := range s.list {
-		if !x.position.Less(p) {
-			return x.at, true
-		}
+	i := sort.Search(len(s.list), func(i int) bool { return !s.list[i].position.Less(p) })
+	if i == len(s.list) {
+		return time.Time{}, false
 	}
-	return time.Time{}, false
+	return s.list[i].at, true
 }
