promo: stop a switch when its primary is no longer leaving

A leaving primary that came back was still replaced, because the request was stored like one of an operator. The time since when it is leaving is now kept apart.

--- a/promo/promo.go
+++ b/promo/promo.go
@@ -80,8 +80,9 @@
 
 	follows  map[string]follow
 	target   string
-	planned  bool
-	switchAt time.Time
+	planned  bool      // an operator asked for a switch
+	switchAt time.Time // when a switch was asked for
+	leaveAt  time.Time // since when the primary is leaving
 }
 
 // follow records the term in which a member follows, and since when.
@@ -160,6 +161,7 @@
 	m.sentAt = time.Time{}
 	m.completeAt = now
 	m.switchAt = now
+	m.leaveAt = time.Time{}
 }
 
 func (m *Machine) handle(e Event, now time.Time) {
--- a/promo/settle.go
+++ b/promo/settle.go
@@ -81,6 +81,7 @@
 	m.resumed = false
 	m.planned = false
 	m.target = ""
+	m.leaveAt = time.Time{}
 	m.dropped = map[string]bool{}
 }
 
@@ -142,29 +143,19 @@
 	if primary == nil {
 		return false
 	}
-	leaving := primary.Leaving
-	if !m.planned && !leaving {
-		return false
-	}
-	if !m.planned {
-		m.planned = true
-		m.switchAt = now
+	switch {
+	case !primary.Leaving:
+		m.leaveAt = time.Time{}
+	case m.leaveAt.IsZero():
+		m.leaveAt = now
 	}
-	if !m.viable(now) {
-		return m.giveUp(leaving, now)
+	if !m.planned && !primary.Leaving {
+		return false
 	}
-	if m.caughtUp(now) {
+	if m.viable(now) && (m.caughtUp(now) || primary.Leaving && now.Sub(m.leaveAt) >= m.cfg.leaveLimit) {
 		return true
 	}
-	if leaving {
-		return now.Sub(m.switchAt) >= m.cfg.leaveLimit
-	}
-	return m.giveUp(leaving, now)
-}
-
-// giveUp ends a switch asked for by an operator that cannot be done in time.
-func (m *Machine) giveUp(leaving bool, now time.Time) bool {
-	if !leaving && now.Sub(m.switchAt) >= m.cfg.switchLimit {
+	if m.planned && now.Sub(m.switchAt) >= m.cfg.switchLimit {
 		m.act(SwitchDropped{To: m.target})
 		m.planned = false
 		m.target = ""
