--- a/promo/model_test.go
+++ b/promo/model_test.go
@@ -348,3 +348,75 @@
 		})
 	}
 }
+
+// reports lets one entry per zone report on every member.
+func (w *world) reports() {
+	for _, zone := range []string{"za", "zb", "zc"} {
+		for _, s := range w.servers {
+			r := promo.Report{
+				Instance: "e" + zone, Zone: zone, Member: s.name, At: w.now,
+				Term: max(s.leads, s.follows), Idle: s.leads+s.follows == 0, Position: s.held(),
+			}
+			switch {
+			case !s.up:
+				r.Health = promo.Unreachable
+			case s.name == w.log.Primary && s.leads < w.log.Term:
+				r.Health = promo.Stalled
+			}
+			w.step(w.leader, r)
+		}
+	}
+}
+
+// run lets time pass, with 2 ms per message and reports every 150 ms, until the
+// condition holds, and returns how long it took.
+func (w *world) run(t *testing.T, until func() bool) time.Duration {
+	const step, reportEvery, tickEvery, limit = 2 * time.Millisecond, 75, 10, 5000
+	began := w.now
+	for i := 0; !until(); i++ {
+		if i == limit || w.broken != "" {
+			t.Fatalf("not done after %v: %s %+v", w.now.Sub(began), w.broken, w.log)
+		}
+		w.now = w.now.Add(step)
+		if i%reportEvery == reportEvery-1 {
+			w.reports()
+		}
+		if i%tickEvery == 0 {
+			w.step(w.leader, promo.Tick{})
+		}
+		sent := w.queue
+		w.queue = nil
+		for _, msg := range sent {
+			w.deliver(msg)
+		}
+	}
+	return w.now.Sub(began)
+}
+
+// serving reports whether an acting primary other than the former one has a
+// following replica, so that it can acknowledge writes.
+func (w *world) serving(former string) func() bool {
+	return func() bool {
+		name := w.log.Primary
+		return name != "" && name != former && w.server(name).leads == w.log.Term &&
+			slices.ContainsFunc(w.servers, func(s *server) bool { return s.follows == w.log.Term })
+	}
+}
+
+// TestTwoLosses guards against a second loss right after the repair of the
+// first being held back by the pace of promotions.
+func TestTwoLosses(t *testing.T) {
+	w := newWorld(nil)
+	w.run(t, w.serving(""))
+	for range 4 {
+		former := w.log.Primary
+		w.crash(w.server(former), false)
+		took := w.run(t, w.serving(former))
+		t.Logf("primary %s of term %d after %v", w.log.Primary, w.log.Term, took)
+		if took > time.Second {
+			t.Errorf("failover took %v", took)
+		}
+		w.server(former).up = true
+		w.run(t, func() bool { return w.server(former).follows == w.log.Term })
+	}
+}
--- a/promo/promo_test.go
+++ b/promo/promo_test.go
@@ -198,3 +198,17 @@
 		t.Error("the weakened rule was not caught")
 	}
 }
+
+// BenchmarkReport measures one report on a healthy database, the most frequent
+// event of a Machine.
+func BenchmarkReport(b *testing.B) {
+	logged := promo.Logged{Term: 1, Primary: "a", Members: []promo.Member{{Name: "a", Voting: true}, {Name: "b", Voting: true}}}
+	m := promo.New(logged, epoch)
+	m.Step(promo.PromoteResult{Member: "a", Term: 1}, epoch)
+	m.Step(promo.FollowResult{Member: "b", Term: 1}, epoch)
+	r := promo.Report{Instance: "e", Zone: "x", Member: "a", At: epoch, Term: 1}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Step(r, epoch)
+	}
+}
