promo: do not let one zone decide before the live zones are known

A new leader learns of live entries one by one. A report of a failure that arrived before the other zones were known counted as the opinion of all zones and began a term at once; the last case of testdata/pause showed it. For one detection timeout after a start or a pause two zones must agree, and without any knowledge of live entries a single zone never decides. The cost is at most 600 ms on a site with one zone, after a change of leader.

Expired reports are dropped once per timeout instead of at every tick.

--- a/promo/detect.go
+++ b/promo/detect.go
@@ -25,13 +25,16 @@
 	timeout time.Duration
 	needed  int
 	live    map[string]int
+	known   bool                         // live has been set
 	reports map[string]map[string]Report // by member and instance
 	since   time.Time                    // reports from before are ignored
+	pruned  time.Time
 }
 
-func newDetector(timeout time.Duration) *detector {
+func newDetector(timeout time.Duration, now time.Time) *detector {
 	return &detector{
 		timeout: timeout,
+		since:   now,
 		needed:  zonesNeeded,
 		live:    map[string]int{},
 		reports: map[string]map[string]Report{},
@@ -50,6 +53,7 @@
 // entries that have not been heard since would otherwise leave the decision to
 // a single zone.
 func (d *detector) setLive(zones []ZoneLive, now time.Time) {
+	d.known = true
 	if now.Sub(d.since) >= d.timeout {
 		d.live = make(map[string]int, len(zones))
 	}
@@ -105,7 +109,7 @@
 		reached = reached || v.up > 0
 	}
 	all := d.zones(zones)
-	need := max(1, min(d.needed, all))
+	need := d.quorum(all, now)
 	switch {
 	case failing < need || 2*seeing > all:
 		return healthy
@@ -117,6 +121,15 @@
 	return gone
 }
 
+// quorum returns how many zones must agree. A single zone decides only if it is
+// known to be the only one with live entries, which takes a while to learn.
+func (d *detector) quorum(zones int, now time.Time) int {
+	if !d.known || now.Sub(d.since) < d.timeout {
+		return d.needed
+	}
+	return max(1, min(d.needed, zones))
+}
+
 // count tallies the fresh reports on a member by zone. Without a report of a
 // failure there is nothing to judge.
 func (d *detector) count(member string, now time.Time) (map[string]votes, bool) {
@@ -186,6 +199,10 @@
 
 // prune drops expired reports, so that instances that are gone use no memory.
 func (d *detector) prune(now time.Time) {
+	if now.Sub(d.pruned) < d.timeout {
+		return
+	}
+	d.pruned = now
 	for member, byInstance := range d.reports {
 		for instance, r := range byInstance {
 			if !d.fresh(r, now) {
--- a/promo/event.go
+++ b/promo/event.go
@@ -42,7 +42,8 @@
 	Count int
 }
 
-// Live replaces the knowledge of live entries.
+// Live replaces the knowledge of live entries. It is repeated regularly: zones
+// are only added shortly after a start or a pause.
 type Live struct{ Zones []ZoneLive }
 
 // Members replaces the registered members of the database.
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -94,7 +94,7 @@
 // New returns a Machine that continues from the logged state.
 func New(logged Logged, now time.Time, opts ...Option) *Machine {
 	m := &Machine{cfg: newConfig(opts), log: logged, last: now, started: now}
-	m.det = newDetector(m.cfg.timeout)
+	m.det = newDetector(m.cfg.timeout, now)
 	m.det.needed = m.cfg.zones
 	m.dropped = map[string]bool{}
 	m.clear()
