--- a/shape/judge.go
+++ b/shape/judge.go
@@ -55,22 +55,22 @@
 	pins     bool
 	suspect  bool // a read candidate that is not proved to be a read
 
-	depth  int // open parentheses
-	atomic int // open BEGIN ATOMIC and CASE blocks of a function body
-	header bool
+	depth  int  // open parentheses
+	atomic int  // open BEGIN ATOMIC and CASE blocks of a function body
+	header bool // before the main part of a WITH statement
 
 	buf       [maxName]byte // last word in lower case
 	n         int           // its length, or 0 if it is too long
-	prior     keyword       // keyword before the last token
-	last      keyword
+	prior     keyword       // keyword directly before the last word
+	last      keyword       // the last token, if it is a keyword
 	prevKind  tokenKind
 	prevByte  byte
 	afterDot  bool
-	catalog   bool // the qualifier of the last word is pg_catalog
-	notCall   bool // the last word cannot be the name of a called function
-	sign      byte
-	list      listState
-	pgCatalog bool
+	catalog   bool      // the qualifier of the last word is pg_catalog
+	notCall   bool      // the last word cannot be the name of a called function
+	sign      byte      // held back: it belongs to the number that may follow
+	list      listState // progress in a list of literals after IN
+	pgCatalog bool      // the last word is pg_catalog and may become a qualifier
 }
 
 // atTop reports whether a semicolon ends the statement here.
@@ -249,8 +249,8 @@
 	}
 }
 
-// qualify notes the qualifier in front of the current word. It runs after the
-// word is stored, so the qualifier is known from the step before.
+// qualify notes the qualifier in front of the current word, and whether the word
+// may itself be the qualifier pg_catalog.
 func (j *judge) qualify() {
 	dot := j.prevKind == tokenPunct && j.prevByte == '.'
 	j.catalog = dot && j.pgCatalog
