route: check age bounds, latest and refusals in the randomised test

The check accepted every choice of the primary. It now also requires that a bound outside the history is refused, that latest reads and uncovered age bounds are confirmed, and that a covered one reaches a sample after its limit.

--- a/route/route_test.go
+++ b/route/route_test.go
@@ -22,6 +22,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "20000")
 	os.Exit(m.Run())
 }
 
@@ -212,34 +213,61 @@
 
 // violation names the rule that a choice breaks, or returns "".
 func violation(q route.Query, g route.Group, c route.Choice) string {
-	u, ok := c.(route.Use)
-	if !ok {
+	u, used := c.(route.Use)
+	if !used {
 		return ""
 	}
 	m := g.Members[int(u.Name[0]-'a')]
 	if m.Leaving && epoch.Sub(m.LeaveAt) > route.DefaultLeaveGrace {
 		return "sent to a member that has left"
 	}
-	if m.Name == g.Primary {
-		return ""
+	if q.Write {
+		return brokenIf(m.Name != g.Primary, "a write sent to a replica")
 	}
-	b, ok := q.Bound.(group.SessionBound)
-	if a, isAge := q.Bound.(group.AgeBound); isAge {
-		b, ok = group.SessionBound{Position: a.Position}, true
+	var at group.Position
+	switch b := q.Bound.(type) {
+	case group.SessionBound:
+		at = b.Position
+	case group.AgeBound:
+		at = b.Position
+	default:
+		return brokenIf(m.Name != g.Primary || !u.Confirm, "latest needs a confirmed primary")
 	}
-	have, haveOK := prefix(g.History, m.Applied)
-	need, needOK := prefix(g.History, b.Position)
+	need, kept := prefix(g.History, at)
+	have, known := prefix(g.History, m.Applied)
+	aged, isAge := q.Bound.(group.AgeBound)
 	switch {
-	case q.Write || !ok:
-		return "only the primary may serve this"
+	case !kept:
+		return "a bound outside the history was served"
+	case isAge && !u.Confirm && !covered(g, u.Need, aged.Max):
+		return "commits before the age limit are not covered"
+	case m.Name == g.Primary:
+		return ""
 	case m.Primary || m.Leaving:
 		return "replaced or leaving member"
-	case !haveOK || !needOK || have < need:
-		return "below the bound"
+	}
+	return brokenIf(!known || have < max(need, u.Need.Offset), "below the bound")
+}
+
+func brokenIf(broken bool, rule string) string {
+	if broken {
+		return rule
 	}
 	return ""
 }
 
+// covered reports whether a position reaches some sample of the current term
+// that was taken at or after the age limit.
+func covered(g route.Group, need group.Position, limit time.Duration) bool {
+	for back := time.Duration(0); back <= limit; back += time.Millisecond {
+		p, ok := g.Samples.At(epoch.Add(-back), g.Term)
+		if ok && need.Offset >= p.Offset {
+			return true
+		}
+	}
+	return false
+}
+
 func checkPick(p *route.Policy, report func(t *rapid.T, broken string)) func(t *rapid.T) {
 	return func(t *rapid.T) {
 		g := drawGroup(t)
