--- a/pool/plan_test.go
+++ b/pool/plan_test.go
@@ -37,7 +37,7 @@
 // TestScripts guards the rules for closing, probing and silent connections.
 // Times of a connection are ages.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		var p *pool.Plan
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var v pool.View
--- a/promo/promo_test.go
+++ b/promo/promo_test.go
@@ -116,7 +116,7 @@
 // TestScripts guards the steps of detection, fencing, promotion, rejoining and
 // planned switches. Each line is "time event"; the actions follow "=>".
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		var m *promo.Machine
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -132,7 +132,7 @@
 // TestScripts guards the rules of section 6 of the design: each script names
 // the members and the expected choice. Counts are out of 1000 choices.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		var g route.Group
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "group" {
