--- a/promo/promo.go
+++ b/promo/promo.go
@@ -80,8 +80,9 @@
 
 	follows  map[string]follow
 	target   string
-	planned  bool
-	switchAt time.Time
+	planned  bool      // an operator asked for a switch
+	switchAt time.Time // when a switch was asked for
+	leaveAt  time.Time // since when the primary is leaving
 }
 
 // follow records the term in which a member follows, and since when.
@@ -93,7 +94,7 @@
 // New returns a Machine that continues from the logged state.
 func New(logged Logged, now time.Time, opts ...Option) *Machine {
 	m := &Machine{cfg: newConfig(opts), log: logged, last: now, started: now}
-	m.det = newDetector(m.cfg.timeout)
+	m.det = newDetector(m.cfg.timeout, now)
 	m.det.needed = m.cfg.zones
 	m.dropped = map[string]bool{}
 	m.clear()
@@ -160,6 +161,7 @@
 	m.sentAt = time.Time{}
 	m.completeAt = now
 	m.switchAt = now
+	m.leaveAt = time.Time{}
 }
 
 func (m *Machine) handle(e Event, now time.Time) {
--- a/shape/judge.go
+++ b/shape/judge.go
@@ -55,22 +55,22 @@
 	pins     bool
 	suspect  bool // a read candidate that is not proved to be a read
 
-	depth  int // open parentheses
-	atomic int // open BEGIN ATOMIC and CASE blocks of a function body
-	header bool
+	depth  int  // open parentheses
+	atomic int  // open BEGIN ATOMIC and CASE blocks of a function body
+	header bool // before the main part of a WITH statement
 
 	buf       [maxName]byte // last word in lower case
 	n         int           // its length, or 0 if it is too long
-	prior     keyword       // keyword before the last token
-	last      keyword
+	prior     keyword       // keyword directly before the last word
+	last      keyword       // the last token, if it is a keyword
 	prevKind  tokenKind
 	prevByte  byte
 	afterDot  bool
-	catalog   bool // the qualifier of the last word is pg_catalog
-	notCall   bool // the last word cannot be the name of a called function
-	sign      byte
-	list      listState
-	pgCatalog bool
+	catalog   bool      // the qualifier of the last word is pg_catalog
+	notCall   bool      // the last word cannot be the name of a called function
+	sign      byte      // held back: it belongs to the number that may follow
+	list      listState // progress in a list of literals after IN
+	pgCatalog bool      // the last word is pg_catalog and may become a qualifier
 }
 
 // atTop reports whether a semicolon ends the statement here.
@@ -163,6 +163,11 @@
 }
 
 func (j *judge) open() {
+	// Only a common table expression has a word before its parenthesis. After
+	// one that stands alone, no further expression can be defined.
+	if j.depth == 0 && j.prevKind != tokenWord && j.prevKind != tokenQuoted {
+		j.header = false
+	}
 	j.depth++
 	if j.prevKind == tokenWord && j.last == keyIn {
 		j.list = listOpen
@@ -244,8 +249,8 @@
 	}
 }
 
-// qualify notes the qualifier in front of the current word. It runs after the
-// word is stored, so the qualifier is known from the step before.
+// qualify notes the qualifier in front of the current word, and whether the word
+// may itself be the qualifier pg_catalog.
 func (j *judge) qualify() {
 	dot := j.prevKind == tokenPunct && j.prevByte == '.'
 	j.catalog = dot && j.pgCatalog
@@ -296,7 +301,7 @@
 		s.kind = Other
 	case j.mode == modeStart && j.prevKind == tokenEnd:
 		s.kind = Empty
-	case j.mode == modeRead && !j.suspect:
+	case j.mode == modeRead && !j.suspect && !j.scan.doubtful:
 		s.kind = Read
 	case j.mode == modeRead:
 		s.kind = Write
