Control over the network: log, promotion, announcements, configuration

ctrl drives the replicated log over drpc and runs failure detection and promotion at its leader; inst assembles an instance with the entry role, the control role or both; backend servers announce themselves by HTTP and are formed into groups; every subcommand but the remaining measurements exists.

Causes found while bringing it up: - Entries reported a member that was chosen but not promoted yet as unreachable, because group_watch fails on it. That began a new term four times within a second. A member that answers with an error is now reported as stalled. - A write whose answer was lost was closed with a tombstone under its key, and every resend with that key was then refused. Attempts now have records of their own, and the next one is used only after the one before was closed.

--- a/cmds/dev.go
+++ b/cmds/dev.go
@@ -23,7 +23,8 @@
 var devPlan = site.Plan{
 	Zones:       []string{"zone-a", "zone-b", "zone-c"},
 	Databases:   []string{"app"},
-	Entries:     2,
+	Entries:     3,
+	Control:     3,
 	Slots:       5,
 	Connections: 30,
 }
@@ -48,8 +49,8 @@
 		return ExitFailed
 	}
 	defer s.Close()
-	for i, e := range s.Entries() {
-		fmt.Fprintf(stdout, "%s in %s: %s\n", e.Name(), e.Zone(), devURL(s, i))
+	for i, in := range s.Instances() {
+		fmt.Fprintf(stdout, "%s in %s: %s (http://%s)\n", in.Name(), in.Zone(), devURL(s, i), in.Admin())
 	}
 	if d.smoke {
 		return smoke(ctx, s, stdout, stderr)
@@ -84,13 +85,14 @@
 		}
 		if got != want {
 			fmt.Fprintf(stderr, "broken promise: wrote %q through %s, read %q through %s\n",
-				want, s.Entries()[0].Name(), got, s.Entries()[1].Name())
+				want, s.Entry(0).Name(), got, s.Entry(1).Name())
 			return ExitBroken
 		}
 		fmt.Fprintf(stdout, "round %d: wrote %q through %s, read it through %s\n",
-			round, want, s.Entries()[0].Name(), s.Entries()[1].Name())
+			round, want, s.Entry(0).Name(), s.Entry(1).Name())
 	}
-	for _, e := range s.Entries() {
+	for _, in := range s.Instances() {
+		e := in.Entry()
 		n := e.Counts()
 		fmt.Fprintf(stdout, "%s served %d writes, %d reads from replicas, %d reads from the primary\n",
 			e.Name(), n.Writes, n.ReadsReplica, n.ReadsPrimary)
--- a/cmds/run.go
+++ b/cmds/run.go
@@ -27,6 +27,11 @@
 
 func commands() []command {
 	return []command{
+		&entryCommand{},
+		&controlCommand{},
+		&backendCommand{},
+		&fleetCommand{},
+		&measureCommand{},
 		&devCommand{},
 		&versionCommand{},
 	}
--- /dev/null
+++ b/ctrl/join.go
@@ -0,0 +1,151 @@
+package ctrl
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"tamarackcross/ctlpb"
+	"tamarackcross/raft"
+)
+
+// bootstrap returns what the member starts from. A member of a new log starts
+// from the identities of all initial members; one whose identity is not among
+// them starts empty and waits to be added.
+func (n *Node) bootstrap(saved raft.Saved) (raft.Saved, error) {
+	for saved.Snapshot.Index == 0 && saved.Hard.Term == 0 && len(n.initial) > 0 {
+		members, known := n.greet(saved.Hard.ID)
+		if known {
+			if !members.Voter(saved.Hard.ID) {
+				return saved, nil
+			}
+			saved.Snapshot = raft.Bootstrap(members...)
+			return saved, n.store.Save(raft.Persist{Snapshot: &saved.Snapshot})
+		}
+		select {
+		case <-n.ctx.Done():
+			return saved, nil
+		case <-time.After(helloInterval):
+		}
+	}
+	return saved, nil
+}
+
+// greet asks the initial members who they are. It reports known once all are
+// known, or once one of them tells how the log was bootstrapped.
+func (n *Node) greet(self raft.ID) (members raft.Members, known bool) {
+	for _, addr := range n.initial {
+		if addr == n.addr {
+			members = append(members, raft.Member{ID: self, Address: addr})
+			continue
+		}
+		reply, err := n.hello(n.ctx, addr)
+		if err != nil {
+			continue
+		}
+		if b := reply.GetBootstrap(); b != nil && len(b.GetMembers()) > 0 {
+			return raft.MembersFromProto(b), true
+		}
+		members = append(members, raft.Member{ID: raft.ID(reply.GetId()), Address: addr})
+	}
+	slices.SortFunc(members, func(a, b raft.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return members, len(members) == len(n.initial)
+}
+
+func (n *Node) hello(ctx context.Context, addr string) (*ctlpb.HelloReply, error) {
+	ctx, stop := context.WithTimeout(ctx, wireDialLimit)
+	defer stop()
+	nc, err := n.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	conn := drpcconn.New(nc)
+	defer conn.Close()
+	return ctlpb.NewDRPCControlClient(conn).Hello(ctx, &ctlpb.HelloRequest{
+		Id: uint64(n.store.Identity()), Address: n.addr, Instance: n.name,
+	})
+}
+
+// joinInterval is how often a member that is not part of the log asks to be
+// added.
+const joinInterval = 500 * time.Millisecond
+
+// join introduces a member that lost its disk, or is new, until the leader has
+// added it.
+func (n *Node) join() {
+	for n.ctx.Err() == nil {
+		if _, ok := n.Status().Members.Find(n.Identity()); ok {
+			return
+		}
+		for _, addr := range n.initial {
+			if addr != n.addr {
+				_, _ = n.hello(n.ctx, addr)
+			}
+		}
+		select {
+		case <-n.ctx.Done():
+		case <-time.After(joinInterval):
+		}
+	}
+}
+
+// admit adds a member that introduced itself. A member that comes back under a
+// new identity lost its disk: it is added as a learner, promoted once it has
+// caught up, and only then its old identity is removed, so that the number of
+// members that remember the log never falls below what it was.
+func (n *Node) admit(id raft.ID, addr string, now time.Time) raft.Output {
+	st := n.core.Status(now)
+	if st.Role != raft.Leader || !slices.Contains(n.initial, addr) {
+		return raft.Output{}
+	}
+	if _, ok := st.Members.Find(id); ok {
+		return raft.Output{}
+	}
+	_, out, err := n.core.ProposeChange(raft.AddLearner{ID: id, Address: addr}, now)
+	if err == nil {
+		n.log.Info().Str("member", id.String()).Str("address", addr).Msg("member added as a learner")
+	}
+	return out
+}
+
+// tidy moves the membership forward by one step: a learner that has caught up
+// is promoted, and an old identity at the same address is removed.
+func (n *Node) tidy(now time.Time) raft.Output {
+	st := n.core.Status(now)
+	if st.Role != raft.Leader || st.Changing || !st.Current {
+		return raft.Output{}
+	}
+	for _, p := range st.Progress {
+		if p.Member.Learner && p.CaughtUp {
+			_, out, _ := n.core.ProposeChange(raft.Promote{ID: p.Member.ID}, now)
+			return out
+		}
+	}
+	if old, ok := replaced(st); ok {
+		_, out, err := n.core.ProposeChange(raft.Remove{ID: old}, now)
+		if err == nil {
+			n.log.Info().Str("member", old.String()).Msg("lost identity removed")
+		}
+		return out
+	}
+	return raft.Output{}
+}
+
+// replaced returns an identity that is silent while another voter answers at
+// its address.
+func replaced(st raft.Status) (raft.ID, bool) {
+	for _, p := range st.Progress {
+		if p.Recent || p.Member.Learner {
+			continue
+		}
+		for _, q := range st.Progress {
+			if q.Member.ID != p.Member.ID && q.Member.Address == p.Member.Address && q.Recent && !q.Member.Learner {
+				return p.Member.ID, true
+			}
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/ctrl/server.go
@@ -0,0 +1,110 @@
+package ctrl
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"tamarackcross/ctlpb"
+	"tamarackcross/raft"
+	"tamarackcross/state"
+)
+
+// service answers the calls of other instances.
+type service struct {
+	n *Node
+}
+
+// Register adds the control service to mux.
+func (n *Node) Register(mux *drpcmux.Mux) error {
+	return ctlpb.DRPCRegisterControl(mux, &service{n: n})
+}
+
+// Serve serves mux on l until ctx ends.
+func Serve(ctx context.Context, l net.Listener, mux *drpcmux.Mux) error {
+	return drpcserver.New(mux).Serve(ctx, l)
+}
+
+// Hello answers a member that introduces itself.
+func (s *service) Hello(ctx context.Context, in *ctlpb.HelloRequest) (*ctlpb.HelloReply, error) {
+	reply := &ctlpb.HelloReply{Id: uint64(s.n.store.Identity())}
+	st := s.n.Status()
+	if len(st.Members) == 0 {
+		return reply, nil
+	}
+	reply.Members = raft.MembersToProto(st.Members)
+	reply.Bootstrap = reply.Members
+	id, addr := raft.ID(in.GetId()), in.GetAddress()
+	err := s.n.post(ctx, func(now time.Time) raft.Output { return s.n.admit(id, addr, now) })
+	return reply, err
+}
+
+// Raft receives the messages of another member.
+func (s *service) Raft(stream ctlpb.DRPCControl_RaftStream) error {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := s.n.step(stream.Context(), m); err != nil {
+			return err
+		}
+	}
+}
+
+// Propose submits a command of another instance.
+func (s *service) Propose(ctx context.Context, in *ctlpb.ProposeRequest) (*ctlpb.ProposeReply, error) {
+	cmd, err := state.DecodeCommand(in.GetCommand())
+	if err != nil {
+		return nil, err
+	}
+	result, err := s.n.Propose(ctx, cmd)
+	if isNotLeader(err) {
+		return &ctlpb.ProposeReply{Leader: s.n.leaderAddr()}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &ctlpb.ProposeReply{Result: ResultToProto(result)}, nil
+}
+
+// Observe takes in the reports of an entry.
+func (s *service) Observe(ctx context.Context, in *ctlpb.ObserveRequest) (*ctlpb.ObserveReply, error) {
+	if s.n.Status().Role != raft.Leader {
+		return &ctlpb.ObserveReply{LeaderAddress: s.n.leaderAddr()}, nil
+	}
+	err := s.n.post(ctx, func(now time.Time) raft.Output {
+		if p, ok := s.n.duties.(*promoter); ok {
+			p.observe(in, now)
+		}
+		return raft.Output{}
+	})
+	return &ctlpb.ObserveReply{Leader: err == nil}, err
+}
+
+// Status describes the member.
+func (s *service) Status(context.Context, *ctlpb.ControlStatusRequest) (*ctlpb.ControlStatusReply, error) {
+	st := s.n.Status()
+	return &ctlpb.ControlStatusReply{
+		Id:      uint64(st.ID),
+		Role:    st.Role.String(),
+		Term:    uint64(st.Term),
+		Commit:  uint64(st.Commit),
+		Leader:  uint64(st.Leader),
+		Current: st.Current,
+		Members: raft.MembersToProto(st.Members),
+	}, nil
+}
+
+// leaderAddr returns the address of the leader, or "".
+func (n *Node) leaderAddr() string {
+	st := n.Status()
+	m, ok := st.Members.Find(st.Leader)
+	if !ok {
+		return ""
+	}
+	return m.Address
+}
--- a/entry/accept.go
+++ b/entry/accept.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"tamarackcross/errs"
+	"tamarackcross/fleet"
 	"tamarackcross/wire"
 )
 
@@ -43,7 +44,7 @@
 	defer nc.Close()
 	open := s.stats.CallerOpened()
 	defer s.stats.CallerClosed()
-	_ = nc.SetDeadline(time.Now().Add(s.policies.Resolve(Scope{}).Handshake))
+	_ = nc.SetDeadline(time.Now().Add(s.policies.Resolve(fleet.Scope{}).HandshakeLimit))
 	c, err := s.startup(ctx, nc)
 	if err != nil {
 		return
@@ -104,7 +105,7 @@
 
 // newSession decodes the startup message and authenticates the caller.
 func (s *Server) newSession(nc net.Conn, body []byte, secure bool) (*session, error) {
-	max := s.policies.Resolve(Scope{}).MaxFrame
+	max := s.policies.Resolve(fleet.Scope{}).MaxMessage
 	c := &session{srv: s, conn: wire.NewConn(nc, wire.WithMaxFrame(max)), set: defaultSettings(), status: statusIdle}
 	var msg pgproto3.StartupMessage
 	if err := msg.Decode(body); err != nil {
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tamarackcross/errs"
+	"tamarackcross/fleet"
 	"tamarackcross/group"
 	"tamarackcross/shape"
 )
@@ -24,7 +25,7 @@
 	commits     bool // holds COMMIT
 	pins        bool // leaves state on the connection
 	fingerprint uint64
-	policy      Policy
+	policy      fleet.Settings
 	arrived     time.Time
 	deadline    time.Time
 
--- a/entry/database.go
+++ b/entry/database.go
@@ -177,7 +177,7 @@
 	}
 	c, err := db.dialWatch(ctx, b)
 	if err != nil {
-		db.observe(b, g.Term, false)
+		db.observeFailure(b, g.Term, err)
 		return err
 	}
 	defer c.Close()
@@ -188,10 +188,10 @@
 			return errReplaced
 		}
 		if after, err = db.watchOnce(ctx, c, after); err != nil {
-			db.observe(b, g.Term, false)
+			db.observeFailure(b, g.Term, err)
 			return err
 		}
-		db.observe(b, g.Term, true)
+		db.observe(Observation{Member: b.Name, Term: g.Term, Reachable: true})
 	}
 	return ctx.Err()
 }
@@ -293,20 +293,27 @@
 	Member    string
 	Term      uint64
 	Reachable bool
+	Stalled   bool // answers, but a majority confirms nothing
 	Position  group.Position
 	At        time.Time
 }
 
-func (db *database) observe(b Backend, term uint64, reachable bool) {
+// observeFailure reports that the watch of the primary failed. A member that
+// answers with an error is reachable but does not act as the primary.
+func (db *database) observeFailure(b Backend, term uint64, err error) {
+	answered := pgctl.Code(err) != ""
+	db.observe(Observation{Member: b.Name, Term: term, Reachable: answered, Stalled: answered})
+}
+
+func (db *database) observe(o Observation) {
 	if db.srv.observer == nil {
 		return
 	}
 	db.mu.Lock()
-	p := db.majority
+	o.Position = db.majority
 	db.mu.Unlock()
-	db.srv.observer.Observe(Observation{
-		Database: db.name, Member: b.Name, Term: term, Reachable: reachable, Position: p, At: time.Now(),
-	})
+	o.Database, o.At = db.name, time.Now()
+	db.srv.observer.Observe(o)
 }
 
 // primaryMember returns the primary that is known now.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"tamarackcross/errs"
+	"tamarackcross/fleet"
 	"tamarackcross/learn"
 	"tamarackcross/stats"
 	"tamarackcross/token"
@@ -112,7 +113,7 @@
 	s := &Server{
 		name:     "entry",
 		dir:      dir,
-		policies: FixedPolicy(DefaultPolicy()),
+		policies: fleet.Default(),
 		codec:    codec,
 		cred:     Credentials{User: "app"},
 		dial:     dialTCP,
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -423,7 +423,7 @@
 	}
 	for {
 		now := time.Now()
-		until := now.Add(x.req.policy.Silence)
+		until := now.Add(x.req.policy.SilenceLimit)
 		if x.req.deadline.Before(until) {
 			until = x.req.deadline
 		}
@@ -436,7 +436,7 @@
 		if !now.Before(x.req.deadline) {
 			return x.expire(ctx)
 		}
-		if !x.b.member.probe(ctx, x.req.policy.Silence, now) {
+		if !x.b.member.probe(ctx, x.req.policy.SilenceLimit, now) {
 			return errs.New(x.outcomeIfLost(), errs.ReasonBackendSilent, "backend server went silent")
 		}
 	}
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -7,6 +7,7 @@
 
 	"tamarackcross/admit"
 	"tamarackcross/errs"
+	"tamarackcross/fleet"
 )
 
 // gate carries the decisions of an admission queue to the goroutines that wait
@@ -21,9 +22,9 @@
 	closed  bool
 }
 
-func newGate(slots int, p Policy) *gate {
+func newGate(slots int, p fleet.Settings) *gate {
 	g := &gate{
-		queue:   admit.New(admit.WithSlots(slots), admit.WithMaxWait(p.MaxWait), admit.WithLongShare(p.LongShare)),
+		queue:   admit.New(admit.WithSlots(slots), admit.WithMaxWait(p.QueueWait), admit.WithLongShare(p.LongShare)),
 		waiting: make(map[uint64]chan admit.Decision),
 	}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"strconv"
 	"strings"
 	"time"
 
@@ -55,12 +56,32 @@
 	return "SELECT v FROM " + keyTable + " WHERE k = " + quoteLiteral(key)
 }
 
-// runKeyed runs a write together with its idempotency record.
+// maxAttempts bounds the records of one key. Each attempt has a record of its
+// own; the next one is used only after the one before it was closed as not run.
+const maxAttempts = 32
+
+// attemptKey returns the key of the record of an attempt. The separator cannot
+// be part of a key that a caller sets.
+func attemptKey(key string, attempt int) string {
+	if attempt == 0 {
+		return key
+	}
+	return key + "\x1f" + strconv.Itoa(attempt)
+}
+
+// runKeyed runs a write together with its idempotency record. An attempt whose
+// answer was lost is closed before the next one, so that at most one commits.
 func (c *session) runKeyed(ctx context.Context, req *request) error {
-	for {
-		x, err := c.attemptKeyed(ctx, req)
+	for n := 0; n < maxAttempts; {
+		key := attemptKey(c.set.key, n)
+		x, err := c.attemptKeyed(ctx, req, key)
 		if err == nil && x.keyed == keyTaken {
-			return c.replyRepeated(ctx, req, x)
+			value, lookupErr := c.lookupKey(ctx, x.b.member, key)
+			if lookupErr == nil && value == tombstone {
+				n++
+				continue
+			}
+			return c.replyRepeated(req, value, lookupErr)
 		}
 		if err == nil && x.hidden != nil {
 			x.surface()
@@ -70,13 +91,19 @@
 		}
 		e := rejection(x, err)
 		if e.Outcome() == errs.Unknown {
-			return c.settleByKey(ctx, req, e)
+			outcome, value := c.closeKey(ctx, key)
+			if outcome != errs.NotRun {
+				return c.replyClosed(req, e, outcome, value)
+			}
+			e = errs.New(errs.NotRun, e.Reason(), e.Text())
+			n++
 		}
 		if !c.mayRetry(ctx, req, x, e) {
 			return c.giveUp(req, x, e)
 		}
 		c.srv.stats.Retried(e.Reason())
 	}
+	return c.giveUp(req, nil, c.unknown(errs.ReasonRetryBudget, "too many attempts with one idempotency key"))
 }
 
 // keyState says what became of the record of a keyed write.
@@ -90,7 +117,7 @@
 // attemptKeyed sends BEGIN, the record and the write at once, then the tag and
 // COMMIT. If the record exists, the transaction has failed before the write
 // and nothing of it runs.
-func (c *session) attemptKeyed(ctx context.Context, req *request) (*execution, error) {
+func (c *session) attemptKeyed(ctx context.Context, req *request, key string) (*execution, error) {
 	req.attempts++
 	if err := c.admit(req, time.Now()); err != nil {
 		return nil, err
@@ -111,10 +138,10 @@
 	}
 	x := c.newExecution(b, req)
 	x.holding, x.checked = true, true
-	x.before = []string{"BEGIN", insertKey(c.set.key, record(req.digest(), ""))}
+	x.before = []string{"BEGIN", insertKey(key, record(req.digest(), ""))}
 	err = c.execute(ctx, x)
 	if err == nil {
-		err = c.commitRecord(ctx, x)
+		err = c.commitRecord(ctx, x, key)
 	}
 	if x.hidden != nil && x.hidden.Code == uniqueViolation {
 		x.keyed = keyTaken
@@ -124,8 +151,8 @@
 }
 
 // commitRecord ends the transaction of a keyed write.
-func (c *session) commitRecord(ctx context.Context, x *execution) error {
-	commit := []string{updateKey(c.set.key, record(x.req.digest(), x.tag)), "COMMIT"}
+func (c *session) commitRecord(ctx context.Context, x *execution, key string) error {
+	commit := []string{updateKey(key, record(x.req.digest(), x.tag)), "COMMIT"}
 	if x.failure != nil || x.hidden != nil {
 		commit = []string{"ROLLBACK"}
 	}
@@ -160,17 +187,15 @@
 
 // replyRepeated answers a write whose record was there already: with the tag of
 // the first run, or with an error if the key belongs to another statement.
-func (c *session) replyRepeated(ctx context.Context, req *request, x *execution) error {
+func (c *session) replyRepeated(req *request, value string, err error) error {
 	c.status = statusIdle
-	value, err := c.lookupKey(ctx, x.b.member)
 	if err != nil {
 		return c.giveUp(req, nil, c.unknown(errs.ReasonBackendLost, "the record of the idempotency key could not be read"))
 	}
+	fingerprint, tag, _ := strings.Cut(value, " ")
 	if value == tombstone {
-		e := errs.New(errs.NotRun, errs.ReasonKeyReuse, "the idempotency key was closed as not run")
-		return c.giveUp(req, nil, e)
+		return c.giveUp(req, nil, errs.New(errs.NotRun, errs.ReasonKeyReuse, "the idempotency key was closed as not run"))
 	}
-	fingerprint, tag, _ := strings.Cut(value, " ")
 	if fingerprint != fmt.Sprintf("%016x", req.digest()) {
 		e := errs.New(errs.NotRun, errs.ReasonKeyReuse, "the idempotency key was used with another statement")
 		return c.giveUp(req, nil, e)
@@ -220,9 +245,9 @@
 	return c.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 }
 
-// lookupKey reads the record of the key at the primary.
-func (c *session) lookupKey(ctx context.Context, m *member) (string, error) {
-	rows, err := m.ask(ctx, selectKey(c.set.key))
+// lookupKey reads a record at the primary.
+func (c *session) lookupKey(ctx context.Context, m *member, key string) (string, error) {
+	rows, err := m.ask(ctx, selectKey(key))
 	if err != nil {
 		return "", err
 	}
@@ -232,27 +257,26 @@
 	return rows[0][0], nil
 }
 
-// settleByKey finds out what became of a write whose answer was lost.
-func (c *session) settleByKey(ctx context.Context, req *request, e *errs.Error) error {
+// replyClosed answers a write whose answer was lost and whose attempt was
+// closed.
+func (c *session) replyClosed(req *request, e *errs.Error, outcome errs.Outcome, value string) error {
 	c.status = statusIdle
-	outcome, value := c.closeKey(ctx)
-	switch outcome {
-	case errs.NotRun:
-		return c.giveUp(req, nil, errs.New(errs.NotRun, e.Reason(), "the write did not run"))
-	case errs.Done:
-		_, tag, _ := strings.Cut(value, " ")
-		if err := c.answerTag(req, tag); err != nil {
-			return err
-		}
-		if !req.ready {
-			return c.flush()
-		}
-		return c.send(c.ready())
+	if outcome != errs.Done {
+		return c.giveUp(req, nil, c.unknown(e.Reason(), e.Text()))
+	}
+	_, tag, _ := strings.Cut(value, " ")
+	if err := c.answerTag(req, tag); err != nil {
+		return err
 	}
-	return c.giveUp(req, nil, c.unknown(e.Reason(), e.Text()))
+	if !req.ready {
+		return c.flush()
+	}
+	return c.send(c.ready())
 }
 
-// outcome answers SHOW tamarackcross.outcome for the key of the session.
+// outcome answers SHOW tamarackcross.outcome for the key of the session. It
+// closes the first attempt that has no record yet, which proves that nothing
+// with this key runs any more.
 func (c *session) outcome(ctx context.Context) (string, error) {
 	if c.set.key == "" {
 		return "", errs.New(errs.NotRun, errs.ReasonBadSetting, "no idempotency key is set")
@@ -260,49 +284,60 @@
 	limit := c.srv.policies.Resolve(c.scope(0)).Deadline
 	ctx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
-	outcome, _ := c.closeKey(ctx)
-	return string(outcome), nil
+	for n := range maxAttempts {
+		outcome, _, fresh := c.closeAttempt(ctx, attemptKey(c.set.key, n))
+		if outcome != errs.NotRun || fresh {
+			return string(outcome), nil
+		}
+	}
+	return string(errs.Unknown), nil
 }
 
-// closeKey commits a tombstone for the key. If that succeeds the original can
-// never commit, which proves that it did not run; if the record exists the
-// original is done.
-func (c *session) closeKey(ctx context.Context) (errs.Outcome, string) {
+// closeKey commits a tombstone as the record of an attempt. If that succeeds
+// the attempt can never commit, which proves that it did not run; if its own
+// record exists it is done.
+func (c *session) closeKey(ctx context.Context, key string) (errs.Outcome, string) {
+	outcome, value, _ := c.closeAttempt(ctx, key)
+	return outcome, value
+}
+
+// closeAttempt repeats tryClose until it is conclusive. fresh reports that the
+// tombstone was not there before.
+func (c *session) closeAttempt(ctx context.Context, key string) (outcome errs.Outcome, value string, fresh bool) {
 	for ctx.Err() == nil {
-		outcome, value, ok := c.tryCloseKey(ctx)
-		if ok {
-			return outcome, value
+		value, inserted, err := c.tryClose(ctx, key)
+		fresh = fresh || inserted
+		if err == nil && value == tombstone {
+			return errs.NotRun, value, fresh
+		}
+		if err == nil {
+			return errs.Done, value, false
 		}
 		c.pause(ctx, nil)
 	}
-	return errs.Unknown, ""
+	return errs.Unknown, "", false
 }
 
-func (c *session) tryCloseKey(ctx context.Context) (errs.Outcome, string, bool) {
+func (c *session) tryClose(ctx context.Context, key string) (value string, inserted bool, err error) {
 	db, err := c.srv.database(c.database)
 	if err != nil {
-		return errs.Unknown, "", false
+		return "", false, err
 	}
 	m, err := db.primaryMember()
 	if err != nil {
-		return errs.Unknown, "", false
+		return "", false, err
 	}
-	_, err = m.ask(ctx, insertKey(c.set.key, tombstone))
+	_, err = m.ask(ctx, insertKey(key, tombstone))
 	if err != nil && pgctl.Code(err) != uniqueViolation {
-		return errs.Unknown, "", false
+		return "", false, err
 	}
-	value, err := c.lookupKey(ctx, m)
-	if err != nil {
-		return errs.Unknown, "", false
+	inserted = err == nil
+	if value, err = c.lookupKey(ctx, m, key); err != nil {
+		return "", inserted, err
 	}
 	// The record itself must survive a promotion before its word counts.
-	if _, err := db.confirms.current(ctx); err != nil {
-		return errs.Unknown, "", false
-	}
-	if value == tombstone {
-		return errs.NotRun, value, true
-	}
-	return errs.Done, value, true
+	_, err = db.confirms.current(ctx)
+	return value, inserted, err
 }
 
 // commitKeyed commits a transaction of the caller with its record.
@@ -318,13 +353,15 @@
 		tx.conn.tainted = true
 		tx.conn.member.put(tx.conn)
 		if e.Outcome() == errs.Unknown {
-			return c.settleByKey(ctx, req, e)
+			outcome, value := c.closeKey(ctx, c.set.key)
+			return c.replyClosed(req, e, outcome, value)
 		}
 		return c.giveUp(req, nil, e)
 	}
 	c.endTx(x)
 	if x.hidden != nil && x.hidden.Code == uniqueViolation {
-		return c.replyRepeated(ctx, req, x)
+		value, err := c.lookupKey(ctx, tx.conn.member, c.set.key)
+		return c.replyRepeated(req, value, err)
 	}
 	return c.conclude(ctx, req, x)
 }
--- a/entry/member.go
+++ b/entry/member.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackcross/errs"
+	"tamarackcross/fleet"
 	"tamarackcross/group"
 	"tamarackcross/pgctl"
 )
@@ -47,7 +48,7 @@
 }
 
 func newMember(db *database, b Backend) *member {
-	policy := db.srv.policies.Resolve(Scope{Database: db.name})
+	policy := db.srv.policies.Resolve(fleet.Scope{Database: db.name})
 	return &member{
 		db:          db,
 		name:        b.Name,
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -24,8 +24,7 @@
 }
 
 func (c *session) boundWrite() {
-	stall := c.srv.policies.Resolve(Scope{Database: c.database, Caller: c.caller}).CallerStall
-	_ = c.conn.SetWriteDeadline(time.Now().Add(stall))
+	_ = c.conn.SetWriteDeadline(time.Now().Add(callerStallLimit))
 }
 
 func (c *session) sendNow(msgs ...pgproto3.Message) error {
--- a/entry/session.go
+++ b/entry/session.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"tamarackcross/errs"
+	"tamarackcross/fleet"
 	"tamarackcross/shape"
 	"tamarackcross/token"
 	"tamarackcross/wire"
@@ -144,8 +145,7 @@
 	if c.tx == nil {
 		return nil
 	}
-	limit := c.srv.policies.Resolve(c.scope(0)).IdleTransaction
-	return c.conn.SetReadDeadline(time.Now().Add(limit))
+	return c.conn.SetReadDeadline(time.Now().Add(idleTransactionLimit))
 }
 
 // readFailed tells the caller why its connection ends, where it can know.
@@ -210,8 +210,8 @@
 	}
 }
 
-func (c *session) scope(fingerprint uint64) Scope {
-	return Scope{Database: c.database, Caller: c.caller, Fingerprint: fingerprint}
+func (c *session) scope(fingerprint uint64) fleet.Scope {
+	return fleet.Scope{Database: c.database, Caller: c.caller, Fingerprint: fingerprint}
 }
 
 // query serves a simple query.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"time"
+	"unicode"
 
 	"tamarackcross/errs"
 )
@@ -53,8 +54,8 @@
 	case settingMaxAge:
 		return s.setMaxAge(value)
 	case settingKey:
-		if len(value) > maxKeyLen {
-			return badSetting(name, "a key of at most 128 bytes")
+		if len(value) > maxKeyLen || strings.ContainsFunc(value, unicode.IsControl) {
+			return badSetting(name, "a key of at most 128 bytes without control characters")
 		}
 		s.key = value
 	case settingTimeout:
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -26,7 +26,7 @@
 
 func (c *session) awaitMajority(ctx context.Context, req *request, x *execution) error {
 	db := x.b.member.db
-	limit, stop := context.WithTimeout(ctx, req.policy.Confirm)
+	limit, stop := context.WithTimeout(ctx, req.policy.CommitTimeout)
 	defer stop()
 	for {
 		changed := db.srv.dir.Changed()
--- /dev/null
+++ b/inst/inst.go
@@ -0,0 +1,339 @@
+package inst
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmux"
+
+	"tamarackcross/admin"
+	"tamarackcross/ctlpb"
+	"tamarackcross/ctrl"
+	"tamarackcross/entry"
+	"tamarackcross/pgctl"
+	"tamarackcross/state"
+	"tamarackcross/stats"
+	"tamarackcross/token"
+)
+
+// Config is what an instance learns from its settings.
+type Config struct {
+	Name       string
+	Zone       string
+	Callers    string   // address for callers; empty without the entry role
+	Peer       string   // address for other instances
+	Admin      string   // address for HTTP
+	Control    []string // peer addresses of the control members
+	DataDir    string   // data folder; empty without the control role
+	TokenKey   []byte
+	OldKey     []byte // previous token key, during a rotation
+	Password   string // of the control role at backend servers
+	Backend    entry.Credentials
+	MaxCallers int
+	Shutdown   time.Duration
+	TLS        *tls.Config
+	Auth       entry.Authenticator
+}
+
+// Instance is a running instance.
+type Instance struct {
+	cfg      Config
+	log      zerolog.Logger
+	dial     pgctl.DialFunc
+	entryOps []entry.Option
+
+	views   *Views
+	spread  *spreader
+	links   *links
+	node    *ctrl.Node
+	client  *ctrl.Client
+	entry   *entry.Server
+	stats   *stats.Registry
+	ann     *announcements
+	report  *reporter
+	http    *http.Server
+	callers net.Listener
+	peer    net.Listener
+	admin   net.Listener
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+	failed chan error
+}
+
+// Option configures an Instance.
+type Option func(*Instance)
+
+// WithLog sets the log.
+func WithLog(l zerolog.Logger) Option { return func(i *Instance) { i.log = l } }
+
+// WithDial sets how other instances and backend servers are reached.
+func WithDial(d pgctl.DialFunc) Option { return func(i *Instance) { i.dial = d } }
+
+// WithEntry adds options for the entry role.
+func WithEntry(opts ...entry.Option) Option {
+	return func(i *Instance) { i.entryOps = append(i.entryOps, opts...) }
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Start starts an instance. Addresses with port 0 get a free port.
+func Start(cfg Config, opts ...Option) (*Instance, error) {
+	i := &Instance{cfg: cfg, log: zerolog.Nop(), dial: dialTCP, failed: make(chan error, 4)}
+	for _, opt := range opts {
+		opt(i)
+	}
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	if err := i.listen(); err != nil {
+		i.Close()
+		return nil, err
+	}
+	if err := i.build(); err != nil {
+		i.Close()
+		return nil, err
+	}
+	i.serve()
+	return i, nil
+}
+
+// listen opens the listeners and fills in the ports that were chosen.
+func (i *Instance) listen() error {
+	for _, l := range []struct {
+		addr *string
+		to   *net.Listener
+	}{{&i.cfg.Callers, &i.callers}, {&i.cfg.Peer, &i.peer}, {&i.cfg.Admin, &i.admin}} {
+		if *l.addr == "" {
+			continue
+		}
+		opened, err := net.Listen("tcp", *l.addr)
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", *l.addr)
+		}
+		*l.to, *l.addr = opened, opened.Addr().String()
+	}
+	return nil
+}
+
+func (i *Instance) build() error {
+	i.stats = stats.New(map[string]string{"instance": i.cfg.Name, "zone": i.cfg.Zone})
+	i.views = NewViews()
+	i.links = newLinks(i.ctx, i.dial)
+	i.spread = newSpreader(i.cfg, i.views, i.links, i.log)
+	i.client = ctrl.NewClient(ctrl.DialFunc(i.dial), i.cfg.Control...)
+	i.ann = newAnnouncements(i.views, i.client, i.dial, i.cfg.Password)
+	i.report = newReporter(i.cfg.Name, i.cfg.Zone, i.client)
+	if i.cfg.DataDir != "" {
+		node, err := ctrl.Open(
+			i.cfg.DataDir, i.cfg.Peer,
+			ctrl.WithName(i.cfg.Name), ctrl.WithZone(i.cfg.Zone), ctrl.WithInitial(i.cfg.Control...),
+			ctrl.WithDial(ctrl.DialFunc(i.dial)), ctrl.WithLog(i.log), ctrl.WithPassword(i.cfg.Password),
+			ctrl.WithPublish(i.spread.publish), ctrl.WithRestore(i.spread.adopt),
+		)
+		if err != nil {
+			return err
+		}
+		i.node = node
+	}
+	if i.cfg.Callers != "" {
+		i.entry = i.newEntry()
+	}
+	return nil
+}
+
+func (i *Instance) newEntry() *entry.Server {
+	var codecOpts []token.Option
+	if len(i.cfg.OldKey) > 0 {
+		codecOpts = append(codecOpts, token.WithPrevious(i.cfg.OldKey))
+	}
+	opts := []entry.Option{
+		entry.WithName(i.cfg.Name), entry.WithZone(i.cfg.Zone), entry.WithPolicies(i.views),
+		entry.WithCredentials(i.cfg.Backend), entry.WithDial(i.dial), entry.WithStats(i.stats),
+		entry.WithLog(i.log), entry.WithObserver(i.report), entry.WithSeed(uint64(time.Now().UnixNano())),
+	}
+	if i.cfg.TLS != nil {
+		opts = append(opts, entry.WithTLS(i.cfg.TLS))
+	}
+	if i.cfg.Auth != nil {
+		opts = append(opts, entry.WithAuthenticator(i.cfg.Auth))
+	}
+	if i.cfg.MaxCallers > 0 {
+		opts = append(opts, entry.WithMaxCallers(i.cfg.MaxCallers))
+	}
+	return entry.New(i.views, token.New(i.cfg.TokenKey, codecOpts...), append(opts, i.entryOps...)...)
+}
+
+// serve starts the goroutines of the instance. The end of each is awaited by
+// Close; a failure is also reported on Failed.
+func (i *Instance) serve() {
+	mux := drpcmux.New()
+	if err := ctlpb.DRPCRegisterPeer(mux, &peerService{s: i.spread}); err != nil {
+		i.fail(err)
+	}
+	if i.node != nil {
+		if err := i.node.Register(mux); err != nil {
+			i.fail(err)
+		}
+		i.wg.Go(func() {
+			<-i.node.Done()
+			if err := i.node.Err(); err != nil {
+				i.fail(err)
+			}
+		})
+	}
+	i.run(func(ctx context.Context) error { return ctrl.Serve(ctx, i.peer, mux) })
+	i.run(i.spread.run)
+	i.run(i.ann.run)
+	i.run(i.register)
+	if i.entry != nil {
+		i.run(i.report.run)
+		i.run(func(ctx context.Context) error { return i.entry.Serve(ctx, i.callers) })
+	}
+	if i.admin != nil {
+		i.http = &http.Server{Handler: admin.Handler(i), ReadHeaderTimeout: 5 * time.Second}
+		i.run(func(context.Context) error { return i.http.Serve(i.admin) })
+	}
+}
+
+func (i *Instance) run(f func(context.Context) error) {
+	i.wg.Go(func() {
+		if err := f(i.ctx); err != nil && i.ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
+			i.fail(err)
+		}
+	})
+}
+
+func (i *Instance) fail(err error) {
+	i.log.Error().Err(err).Msg("part of the instance failed")
+	select {
+	case i.failed <- err:
+	default:
+	}
+}
+
+// Failed receives the failure of a part without which the instance is of no
+// use.
+func (i *Instance) Failed() <-chan error { return i.failed }
+
+// registerInterval is how often an instance tries to register.
+const registerInterval = 200 * time.Millisecond
+
+// register adds the instance to the shared state.
+func (i *Instance) register(ctx context.Context) error {
+	cmd := state.RegisterInstance{Instance: state.Instance{
+		Name: i.cfg.Name, Incarnation: uint64(time.Now().UnixNano()), Zone: i.cfg.Zone,
+		Addresses: i.addresses(), Roles: i.roles(),
+	}}
+	for ctx.Err() == nil {
+		pctx, stop := context.WithTimeout(ctx, announceLimit)
+		result, err := i.client.Propose(pctx, cmd)
+		stop()
+		if err == nil {
+			if r, ok := result.(state.Refused); ok {
+				return eris.Errorf("registration refused: %s %s", r.Reason, r.Detail)
+			}
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerInterval):
+		}
+	}
+	return nil
+}
+
+func (i *Instance) addresses() []string {
+	out := make([]string, addrCount)
+	out[addrPeer], out[addrAdmin], out[addrCallers] = i.cfg.Peer, i.cfg.Admin, i.cfg.Callers
+	if i.cfg.Callers == "" {
+		out = out[:addrCallers]
+	}
+	return out
+}
+
+func (i *Instance) roles() []string {
+	var out []string
+	if i.entry != nil {
+		out = append(out, state.RoleEntry)
+	}
+	if i.node != nil {
+		out = append(out, state.RoleControl)
+	}
+	return out
+}
+
+// Name returns the name of the instance.
+func (i *Instance) Name() string { return i.cfg.Name }
+
+// Zone returns the availability zone.
+func (i *Instance) Zone() string { return i.cfg.Zone }
+
+// Callers returns the address for callers.
+func (i *Instance) Callers() string { return i.cfg.Callers }
+
+// Peer returns the address for other instances.
+func (i *Instance) Peer() string { return i.cfg.Peer }
+
+// Admin returns the address of the HTTP interface.
+func (i *Instance) Admin() string { return i.cfg.Admin }
+
+// Entry returns the entry role, or nil.
+func (i *Instance) Entry() *entry.Server { return i.entry }
+
+// Node returns the control role, or nil.
+func (i *Instance) Node() *ctrl.Node { return i.node }
+
+// Views returns the shared state as this instance knows it.
+func (i *Instance) Views() *Views { return i.views }
+
+// Shutdown ends the instance gracefully: readiness goes first, requests in
+// flight finish. It returns how many were cut when ctx ended.
+func (i *Instance) Shutdown(ctx context.Context) int64 {
+	var cut int64
+	if i.entry != nil {
+		cut = i.entry.Shutdown(ctx)
+	}
+	i.Close()
+	return cut
+}
+
+// Close ends the instance at once and waits for all goroutines.
+func (i *Instance) Close() {
+	i.cancel()
+	for _, l := range []net.Listener{i.callers, i.peer, i.admin} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+	if i.http != nil {
+		_ = i.http.Close()
+	}
+	if i.entry != nil {
+		i.entry.Close()
+	}
+	if i.node != nil {
+		if err := i.node.Close(); err != nil {
+			i.log.Error().Err(err).Msg("control role ended")
+		}
+	}
+	i.wg.Wait()
+	if i.links != nil {
+		i.links.wait()
+	}
+	if i.client != nil {
+		i.client.Close()
+	}
+	if i.stats != nil {
+		_ = i.stats.Close()
+	}
+}
--- a/site/site.go
+++ b/site/site.go
@@ -1,21 +1,24 @@
 // Package site assembles a whole small deployment in one process: emulated
-// database groups and entries on loopback ports. It serves dev, the
+// database groups, control and entries on loopback ports. It serves dev, the
 // measurements and tests.
 package site
 
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"net"
-	"strconv"
+	"os"
+	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"tamarackcross/emul"
 	"tamarackcross/entry"
-	"tamarackcross/group"
-	"tamarackcross/token"
+	"tamarackcross/inst"
+	"tamarackcross/pgctl"
 )
 
 // Plan is the size of a site.
@@ -23,29 +26,34 @@
 	Zones       []string
 	Databases   []string
 	Entries     int
+	Control     int // instances with the control role; they are entries too
 	Slots       int // per member
 	Connections int // per member
 }
 
 // Site is a running deployment.
 type Site struct {
-	plan    Plan
-	groups  []*emul.Group
-	dir     *entry.StaticDirectory
-	entries []*entry.Server
-	addrs   []string
-	done    []chan error
-	ls      []net.Listener
-	cancel  context.CancelFunc
+	plan      Plan
+	network   *emul.Network
+	folder    string
+	servers   map[string][]*emul.Server // by database
+	announced []chan error
+	instances []*inst.Instance
+	cancel    context.CancelFunc
+	opts      options
+	key       [32]byte
+	control   []string
 }
 
 // Option configures the parts of a site.
 type Option func(*options)
 
 type options struct {
-	member []emul.Option
-	entry  []entry.Option
-	log    zerolog.Logger
+	member  []emul.Option
+	entry   []entry.Option
+	network []emul.NetworkOption
+	log     zerolog.Logger
+	ttl     time.Duration
 }
 
 // WithMember adds options for the emulated members.
@@ -58,106 +66,225 @@
 	return func(o *options) { o.entry = append(o.entry, opts...) }
 }
 
+// WithNetwork adds options for the network between the parts.
+func WithNetwork(opts ...emul.NetworkOption) Option {
+	return func(o *options) { o.network = append(o.network, opts...) }
+}
+
 // WithLog sets the log of all parts.
 func WithLog(l zerolog.Logger) Option { return func(o *options) { o.log = l } }
 
-// Start starts a site and waits until it can serve.
+const (
+	defaultTTL = 2 * time.Second
+	startLimit = 20 * time.Second      // for a site to be able to serve
+	startPoll  = 20 * time.Millisecond // between looks whether it is
+)
+
+// Start starts a site and waits until every entry can serve every database.
 func Start(ctx context.Context, plan Plan, opts ...Option) (*Site, error) {
-	o := options{log: zerolog.Nop()}
+	o := options{log: zerolog.Nop(), ttl: defaultTTL}
 	for _, opt := range opts {
 		opt(&o)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	s := &Site{plan: plan, dir: entry.NewStaticDirectory(), cancel: cancel}
-	if err := s.startGroups(ctx, o); err != nil {
-		s.Close()
-		return nil, err
-	}
-	if err := s.startEntries(ctx, o); err != nil {
+	s := &Site{plan: plan, servers: make(map[string][]*emul.Server), cancel: cancel, opts: o}
+	s.network = emul.NewNetwork(o.network...)
+	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *Site) startGroups(ctx context.Context, o options) error {
-	member := append([]emul.Option{emul.WithSlots(s.plan.Slots), emul.WithConnections(s.plan.Connections)}, o.member...)
-	for _, db := range s.plan.Databases {
-		g, err := emul.StartGroup(ctx, db, s.plan.Zones, member...)
+func (s *Site) start(ctx context.Context) error {
+	if _, err := rand.Read(s.key[:]); err != nil {
+		return err
+	}
+	folder, err := os.MkdirTemp("", "tamarackcross-site-")
+	if err != nil {
+		return err
+	}
+	s.folder = folder
+	if err := s.startInstances(); err != nil {
+		return err
+	}
+	if err := s.startMembers(ctx); err != nil {
+		return err
+	}
+	return s.await(ctx)
+}
+
+// reserve finds free loopback ports, for addresses that must be known before
+// the instances start.
+func reserve(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return eris.Wrapf(err, "database %s", db)
+			return nil, err
 		}
-		s.groups = append(s.groups, g)
-		view, err := s.view(db, g)
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+func (s *Site) startInstances() error {
+	peers, err := reserve(s.plan.Entries)
+	if err != nil {
+		return err
+	}
+	s.control = peers[:s.plan.Control]
+	for i := range s.plan.Entries {
+		in, err := s.startInstance(i, peers[i])
 		if err != nil {
 			return err
 		}
-		s.dir.Set(view)
+		s.instances = append(s.instances, in)
 	}
 	return nil
 }
 
-func (s *Site) view(db string, g *emul.Group) (entry.Group, error) {
-	h, err := group.NewHistory(group.Start{Term: 1})
+func (s *Site) startInstance(i int, peer string) (*inst.Instance, error) {
+	name := fmt.Sprintf("entry-%d", i+1)
+	zone := s.plan.Zones[i%len(s.plan.Zones)]
+	cfg := inst.Config{
+		Name: name, Zone: zone,
+		Callers: "127.0.0.1:0", Peer: peer, Admin: "127.0.0.1:0",
+		Control: s.control, TokenKey: s.key[:], Backend: entry.Credentials{User: "app"},
+	}
+	if i < s.plan.Control {
+		cfg.DataDir = filepath.Join(s.folder, name)
+	}
+	s.network.Register(peer, name, zone)
+	in, err := inst.Start(cfg,
+		inst.WithLog(s.opts.log.With().Str("instance", name).Logger()),
+		inst.WithDial(pgctl.DialFunc(s.network.Dialer(name, zone))),
+		inst.WithEntry(s.opts.entry...),
+	)
 	if err != nil {
-		return entry.Group{}, err
+		return nil, eris.Wrapf(err, "start %s", name)
 	}
-	out := entry.Group{Database: db, Term: 1, History: h, Primary: g.Member(0).Name()}
-	for _, m := range g.Servers() {
-		out.Members = append(out.Members, entry.Backend{
-			Name: m.Member().Name(), Zone: m.Zone(), Addr: m.Addr(),
-			Slots: s.plan.Slots, Connections: s.plan.Connections,
-		})
+	s.network.Register(in.Admin(), name, zone)
+	s.network.Register(in.Callers(), name, zone)
+	return in, nil
+}
+
+func (s *Site) startMembers(ctx context.Context) error {
+	urls := make([]string, 0, len(s.instances))
+	for _, in := range s.instances {
+		urls = append(urls, "http://"+in.Admin())
 	}
-	return out, nil
+	for _, db := range s.plan.Databases {
+		for i, zone := range s.plan.Zones {
+			if err := s.startMember(ctx, db, i, zone, urls); err != nil {
+				return eris.Wrapf(err, "database %s", db)
+			}
+		}
+	}
+	return nil
 }
 
-func (s *Site) startEntries(ctx context.Context, o options) error {
-	var key [32]byte
-	if _, err := rand.Read(key[:]); err != nil {
+func (s *Site) startMember(ctx context.Context, db string, i int, zone string, urls []string) error {
+	name := fmt.Sprintf("%s-%d", db, i+1)
+	opts := append([]emul.Option{
+		emul.WithMembers(len(s.plan.Zones)),
+		emul.WithSlots(s.plan.Slots),
+		emul.WithConnections(s.plan.Connections),
+		emul.WithDial(s.network.Dialer(name, zone)),
+	}, s.opts.member...)
+	srv := emul.NewServer(emul.New(name, db, opts...), zone, "127.0.0.1:0")
+	if err := srv.Start(ctx); err != nil {
 		return err
 	}
-	for i := range s.plan.Entries {
-		zone := s.plan.Zones[i%len(s.plan.Zones)]
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return eris.Wrap(err, "listen")
+	s.servers[db] = append(s.servers[db], srv)
+	s.network.Register(srv.Addr(), name, zone)
+	// Each member announces itself to the instances of its own zone first.
+	first := i % len(urls)
+	order := append(append([]string(nil), urls[first:]...), urls[:first]...)
+	a := emul.NewAnnouncer(srv, order, emul.WithTTL(s.opts.ttl))
+	done := make(chan error, 1)
+	go func() { done <- a.Run(ctx) }()
+	s.announced = append(s.announced, done)
+	return nil
+}
+
+// await waits until every instance knows every database with all its members,
+// and every member follows its primary.
+func (s *Site) await(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, startLimit)
+	defer stop()
+	for !s.formed() {
+		select {
+		case <-ctx.Done():
+			return eris.New("site did not form in time")
+		case <-time.After(startPoll):
 		}
-		opts := append([]entry.Option{
-			entry.WithName("entry-" + strconv.Itoa(i+1)),
-			entry.WithZone(zone),
-			entry.WithLog(o.log),
-			entry.WithSeed(uint64(i + 1)),
-		}, o.entry...)
-		e := entry.New(s.dir, token.New(key[:]), opts...)
-		done := make(chan error, 1)
-		go func() { done <- e.Serve(ctx, l) }()
-		s.entries = append(s.entries, e)
-		s.addrs = append(s.addrs, l.Addr().String())
-		s.ls = append(s.ls, l)
-		s.done = append(s.done, done)
 	}
 	return nil
 }
 
-// Groups returns the emulated groups in the order of the plan's databases.
-func (s *Site) Groups() []*emul.Group { return s.groups }
+func (s *Site) formed() bool {
+	for _, in := range s.instances {
+		if in.Ready() != nil {
+			return false
+		}
+		for _, db := range s.plan.Databases {
+			g, ok := in.Views().Group(db)
+			if !ok || g.Primary == "" || len(g.Members) < len(s.plan.Zones) {
+				return false
+			}
+			if !s.following(db, g.Term) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (s *Site) following(db string, term uint64) bool {
+	for _, srv := range s.servers[db] {
+		if srv.Member().Status().Term != term {
+			return false
+		}
+	}
+	return true
+}
+
+// Network returns the network between the parts.
+func (s *Site) Network() *emul.Network { return s.network }
+
+// Servers returns the members of a database in the order of the zones.
+func (s *Site) Servers(db string) []*emul.Server { return s.servers[db] }
 
-// Entries returns the entries.
-func (s *Site) Entries() []*entry.Server { return s.entries }
+// Instances returns the instances.
+func (s *Site) Instances() []*inst.Instance { return s.instances }
 
-// Addr returns the address on which entry i serves callers.
-func (s *Site) Addr(i int) string { return s.addrs[i] }
+// Entry returns the entry role of instance i.
+func (s *Site) Entry(i int) *entry.Server { return s.instances[i].Entry() }
 
-// Close stops everything and waits for it.
+// Addr returns the address on which instance i serves callers.
+func (s *Site) Addr(i int) string { return s.instances[i].Callers() }
+
+// Plan returns the size of the site.
+func (s *Site) Plan() Plan { return s.plan }
+
+// Close stops everything, waits for it and removes the data folders.
 func (s *Site) Close() {
-	for i, e := range s.entries {
-		_ = s.ls[i].Close()
-		e.Close()
-		<-s.done[i]
+	s.cancel()
+	for _, done := range s.announced {
+		<-done
 	}
-	for _, g := range s.groups {
-		_ = g.Close()
+	for _, in := range s.instances {
+		in.Close()
+	}
+	for _, servers := range s.servers {
+		for _, srv := range servers {
+			_ = srv.Stop()
+		}
+	}
+	s.network.Close()
+	if s.folder != "" {
+		_ = os.RemoveAll(s.folder)
 	}
-	s.cancel()
 }
