--- a/raft/leader.go
+++ b/raft/leader.go
@@ -36,13 +36,14 @@
 	n.votes = nil
 	n.lead = &leadership{start: n.log.last() + 1, peers: map[ID]*peer{}, beat: now.Add(n.cfg.heartbeat)}
 	n.lead.openRound(now)
-	n.syncPeers(now)
+	n.syncPeers(n.lead.start, now)
 	n.appendAsLeader(KindEmpty, nil, now)
 }
 
-// syncPeers matches the peers with the membership. A new peer counts as heard
-// from now, so that its addition does not end the leadership at once.
-func (n *Node) syncPeers(now time.Time) {
+// syncPeers matches the peers with the membership. A new peer is first sent the
+// entry at next, so that the leader learns from its reply what it holds. It
+// counts as heard from now, so that it does not end the leadership at once.
+func (n *Node) syncPeers(next Index, now time.Time) {
 	ms := n.members()
 	for id := range n.lead.peers {
 		if _, ok := ms.Find(id); !ok {
@@ -53,7 +54,7 @@
 		if m.ID == n.hard.ID || n.lead.peers[m.ID] != nil {
 			continue
 		}
-		n.lead.peers[m.ID] = &peer{next: n.log.last() + 1, probing: true, heard: now}
+		n.lead.peers[m.ID] = &peer{next: next, probing: true, heard: now}
 	}
 }
 
@@ -129,7 +130,7 @@
 	e := Entry{Index: n.log.last() + 1, Term: n.hard.Term, Kind: kind, Data: data}
 	n.appendEntries(e)
 	if kind == KindMembers {
-		n.syncPeers(now)
+		n.syncPeers(e.Index, now)
 	}
 	n.eachPeer(n.replicate)
 	n.advanceCommit(now)
@@ -242,10 +243,10 @@
 }
 
 func (n *Node) onAccepted(p *peer, i Index, now time.Time) {
-	if i > n.log.last() || (i <= p.match && !p.probing) {
+	if i > n.log.last() || i <= p.match {
 		return
 	}
-	p.match = max(p.match, i)
+	p.match = i
 	p.next = max(p.next, p.match+1)
 	if p.probing {
 		p.next, p.inflight, p.probing = p.match+1, nil, false
--- a/raft/log.go
+++ b/raft/log.go
@@ -88,8 +88,9 @@
 	l.base = Mark{Index: i, Term: t}
 }
 
-// hint returns the newest entry at or before i whose term is not above t. The
-// other side skips a whole diverging term with it instead of single entries.
+// hint returns the newest entry at or before i whose term is not above t, or
+// none if it may lie before the log. The other side skips a whole diverging
+// term with it instead of single entries.
 func (l *memlog) hint(i Index, t Term) Mark {
 	i = min(i, l.last())
 	for {
@@ -97,7 +98,7 @@
 		if !ok {
 			return Mark{}
 		}
-		if at <= t || i == l.base.Index {
+		if at <= t {
 			return Mark{Index: i, Term: at}
 		}
 		i--
