store: tests with injected crashes, failed writes and damaged files

The randomised test stops the process at any file operation, loses what was not synced and compares what is found with the state before and after the interrupted change. The scripts tell torn records from damage on real files.

--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,213 @@
+package store_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"tamarackcross/raft"
+	"tamarackcross/store"
+)
+
+const saves = 40 // per random schedule
+
+// TestMain fixes the seed so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// model applies p to the state that must be found after a restart.
+func model(s raft.Saved, p raft.Persist) raft.Saved {
+	if p.Hard != nil {
+		s.Hard = *p.Hard
+	}
+	if p.Snapshot != nil {
+		k := int(p.Snapshot.Index - s.Snapshot.Index)
+		if k > len(s.Entries) || s.Entries[k-1].Term != p.Snapshot.Term {
+			k = len(s.Entries)
+		}
+		s.Snapshot, s.Entries = *p.Snapshot, s.Entries[k:]
+	}
+	if len(p.Entries) > 0 {
+		k := p.Entries[0].Index - s.Snapshot.Index - 1
+		s.Entries = slices.Concat(s.Entries[:k], p.Entries)
+	}
+	return s
+}
+
+// somePersist draws a change that a member could ask for in state s.
+func somePersist(t *rapid.T, s raft.Saved) raft.Persist {
+	var p raft.Persist
+	n := func(limit int) int { return rapid.IntRange(0, limit).Draw(t, "n") }
+	if n(2) == 0 {
+		p.Hard = &raft.HardState{ID: s.Hard.ID, Term: s.Hard.Term + raft.Term(n(2)), Vote: raft.ID(n(3))}
+	}
+	if n(5) == 0 {
+		snap := raft.Bootstrap(raft.Member{ID: 7, Address: "here"})
+		snap.Index, snap.Term = s.Snapshot.Index+1+raft.Index(n(len(s.Entries)+2)), s.Hard.Term+1
+		if k := int(snap.Index-s.Snapshot.Index) - 1; k < len(s.Entries) && n(3) > 0 {
+			snap.Term = s.Entries[k].Term
+		}
+		snap.Data = make([]byte, 1+n(200))
+		p.Snapshot = &snap
+	}
+	after := model(s, p)
+	first := after.Snapshot.Index + 1 + raft.Index(n(len(after.Entries)))
+	for i := range n(4) {
+		e := raft.Entry{Index: first + raft.Index(i), Term: after.Hard.Term + 1, Kind: raft.KindData, Data: make([]byte, 1+n(60))}
+		p.Entries = append(p.Entries, e)
+	}
+	return p
+}
+
+// TestCrashes guards against losing what was saved, or half a change: after a
+// crash or a failed write at any operation, the folder holds the state before
+// or after the interrupted change, or has only its snapshot in addition.
+func TestCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		disk := newMemory(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)))
+		s, state, err := store.Open("", store.WithFiles(disk), store.WithSegment(300))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range saves {
+			p := somePersist(t, state)
+			allowed := []raft.Saved{state, model(state, raft.Persist{Snapshot: p.Snapshot}), model(state, p)}
+			disk.left = rapid.IntRange(-1, 30).Draw(t, "left")
+			err := s.Save(p)
+			if err == nil {
+				allowed = allowed[2:]
+			}
+			if err != nil && !errors.Is(s.Save(p), store.ErrFailed) {
+				t.Fatal("the store went on after a failed write")
+			}
+			state = allowed[len(allowed)-1]
+			if err == nil && rapid.IntRange(0, 3).Draw(t, "restart") > 0 {
+				continue
+			}
+			s, state = reopened(t, disk, allowed)
+		}
+	})
+}
+
+// reopened crashes and opens the store until it succeeds.
+func reopened(t *rapid.T, disk *memory, allowed []raft.Saved) (*store.Store, raft.Saved) {
+	for {
+		disk.crash()
+		disk.left = rapid.IntRange(-1, 10).Draw(t, "left while opening")
+		s, got, err := store.Open("", store.WithFiles(disk), store.WithSegment(300))
+		if errors.Is(err, errDisk) {
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range allowed {
+			if cmp.Equal(want, got, cmpopts.EquateEmpty()) {
+				disk.left, disk.failed = -1, false
+				return s, got
+			}
+		}
+		t.Fatalf("found (+) is none of the allowed states, the last of which is (-):\n%s",
+			cmp.Diff(allowed[len(allowed)-1], got, cmpopts.EquateEmpty()))
+	}
+}
+
+// TestDamage guards against treating damage as a torn write, and a torn write
+// as damage, on real files.
+func TestDamage(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		dir := filepath.Join(t.TempDir(), "data")
+		var s *store.Store
+		var saved raft.Saved
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var err error
+			var index, n, offset int
+			var name string
+			d.MaybeScanArgs(t, "index", &index)
+			d.MaybeScanArgs(t, "n", &n)
+			d.MaybeScanArgs(t, "offset", &offset)
+			d.MaybeScanArgs(t, "file", &name)
+			switch d.Cmd {
+			case "open":
+				seed := strings.NewReader("identity")
+				if s, saved, err = store.Open(dir, store.WithRand(seed), store.WithSegment(200)); err == nil {
+					return fmt.Sprintf("%+v snapshot=%d entries=%d", saved.Hard, saved.Snapshot.Index, len(saved.Entries))
+				}
+			case "second":
+				_, _, err = store.Open(dir)
+				if !errors.Is(err, store.ErrLocked) {
+					return "not locked"
+				}
+				return "locked"
+			case "close":
+				err = s.Close()
+			case "save":
+				hard := raft.HardState{ID: s.Identity(), Term: raft.Term(index), Vote: 1}
+				e := raft.Entry{Index: raft.Index(index), Term: 1, Data: make([]byte, 50)}
+				err = s.Save(raft.Persist{Hard: &hard, Entries: []raft.Entry{e}})
+			case "snapshot":
+				err = s.Save(raft.Persist{Snapshot: &raft.Snapshot{Index: raft.Index(index), Term: 1, Data: []byte("state")}})
+			case "cut", "flip", "extend":
+				err = mangle(filepath.Join(dir, name), d.Cmd, n, offset)
+			case "remove":
+				err = os.Remove(filepath.Join(dir, name))
+			case "files":
+				return listing(t, dir)
+			}
+			if err != nil {
+				return fmt.Sprintf("damaged=%v: %s", errors.Is(err, store.ErrDamaged), err)
+			}
+			return "ok"
+		})
+	})
+}
+
+func mangle(path, how string, n, offset int) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	switch how {
+	case "cut":
+		data = data[:len(data)-n]
+	case "flip":
+		data[offset] ^= 1
+	case "extend":
+		data = append(data, make([]byte, n)...)
+	}
+	return os.WriteFile(path, data, 0o600)
+}
+
+func listing(t *testing.T, dir string) string {
+	t.Helper()
+	es, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, e := range es {
+		info, err := e.Info()
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, fmt.Sprintf("%s %d", e.Name(), info.Size()))
+	}
+	return strings.Join(out, "\n")
+}
