entry: a write in flight gives up on a primary that was replaced

Cause: after a failover the writes in flight at the former primary waited for the silence limit of 1 s and then for the probe, so the gap in writes was 2.1 s although the new primary served after 0.7 s. Ruled out: a read deadline set from the watch goroutine, which the waiting session would overwrite.

The wait is now cut into slices of 50 ms, and a request that needs the primary leaves 100 ms after the directory names another one.

--- a/entry/execute.go
+++ b/entry/execute.go
@@ -61,7 +61,9 @@
 	before     []string // statements run first, whose answers the caller does not see
 	onlyBefore bool     // nothing follows them
 	keyed      keyState
-	broken     bool // a frame to the caller was cut in the middle
+	// primaryAtStart is whether the member was the primary when the request began.
+	primaryAtStart bool
+	broken         bool // a frame to the caller was cut in the middle
 }
 
 // errBelowBound reports a snapshot older than the bound of a read.
@@ -70,6 +72,7 @@
 // run sends the request and relays its answer. The error is nil when the
 // answer came whole, whatever it says.
 func (x *execution) run(ctx context.Context) error {
+	x.primaryAtStart = x.b.member.primary()
 	if err := x.sendAll(); err != nil {
 		x.b.tainted = true
 		return errs.New(x.outcomeIfLost(), errs.ReasonBackendLost, "connection to the backend server broke")
@@ -412,36 +415,63 @@
 	return append(b, f.Body...)
 }
 
-// await waits for the backend server to send something. Silence is told apart
-// from slowness by a probe on another connection; at the deadline the statement
-// is cancelled.
+// await waits for the backend server to send something. It looks up at short
+// intervals: silence is told apart from slowness by a probe on another
+// connection, a primary that was replaced gets a moment to answer, and at the
+// deadline the statement is cancelled.
 func (x *execution) await(ctx context.Context) error {
 	if x.released {
 		if err := x.c.flush(); err != nil {
 			return errs.New(x.outcomeIfLost(), errs.ReasonCancelled, "caller left")
 		}
 	}
+	heard := time.Now()
+	var replaced time.Time
 	for {
 		now := time.Now()
-		until := now.Add(x.req.policy.SilenceLimit)
-		if x.req.deadline.Before(until) {
-			until = x.req.deadline
-		}
-		if err := x.b.wc.WaitReadable(until); err == nil {
+		err := x.b.wc.WaitReadable(earlier(now.Add(waitSlice), x.req.deadline))
+		if err == nil {
 			return x.b.wc.SetReadDeadline(now.Add(frameTimeout))
-		} else if !isTimeout(err) || ctx.Err() != nil {
+		}
+		if !isTimeout(err) || ctx.Err() != nil {
 			return errs.New(x.outcomeIfLost(), errs.ReasonBackendLost, "connection to the backend server broke")
 		}
 		now = time.Now()
-		if !now.Before(x.req.deadline) {
+		switch {
+		case !now.Before(x.req.deadline):
 			return x.expire(ctx)
+		case x.replaced() && replaced.IsZero():
+			replaced = now
+		case !replaced.IsZero() && now.Sub(replaced) >= replacedGrace:
+			return errs.New(x.outcomeIfLost(), errs.ReasonStalePrimary, "the primary was replaced")
+		case now.Sub(heard) >= x.req.policy.SilenceLimit:
+			if !x.b.member.probe(ctx, x.req.policy.SilenceLimit, now) {
+				return errs.New(x.outcomeIfLost(), errs.ReasonBackendSilent, "backend server went silent")
+			}
+			heard = time.Now()
 		}
-		if !x.b.member.probe(ctx, x.req.policy.SilenceLimit, now) {
-			return errs.New(x.outcomeIfLost(), errs.ReasonBackendSilent, "backend server went silent")
-		}
 	}
 }
 
+const (
+	waitSlice     = 50 * time.Millisecond  // between looks while a statement runs
+	replacedGrace = 100 * time.Millisecond // for the answer of a primary that was replaced
+)
+
+// replaced reports whether the request needs the primary and the member is not
+// the primary any more.
+func (x *execution) replaced() bool {
+	needed := x.req.onPrimary() || x.c.tx != nil || x.onlyBefore
+	return needed && x.primaryAtStart && !x.b.member.primary()
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // expire cancels a statement whose deadline has passed and gives the backend
 // server a moment to confirm it, which proves that nothing was committed.
 func (x *execution) expire(ctx context.Context) error {
