Share the slots of a backend server between the entries

The owner of each backend server, an entry of its zone, grants leases of slots; the queues of all entries follow their leases. An owner acts only while control acknowledged its reports within the last second, or while more than half of the entries of its zone have no contact with control either. Control removes an entry that was silent for 2 s if at least half of its zone reports: both conditions cannot hold at once.

Cause of a fault found on the way: an instance registered again every 200 ms until it saw its own registration. Each is a new incarnation, which raises the epoch of all it owns, and each epoch begins with 1.1 s without grants: writes were refused for want of slots. It now waits 2 s before it registers again.

--- a/ctrl/promoter.go
+++ b/ctrl/promoter.go
@@ -31,6 +31,9 @@
 	n         *Node
 	databases map[string]*supervised
 	entries   map[string]liveEntry
+	heard     map[string]time.Time // last report of each entry
+	since     time.Time            // first tick of this leadership
+	removing  bool
 	view      *state.View
 	next      time.Time
 }
@@ -62,11 +65,13 @@
 
 // Reset forgets everything that only a leader knows.
 func (p *promoter) Reset() {
-	if len(p.databases) == 0 && p.databases != nil {
+	if p.databases != nil && p.since.IsZero() {
 		return
 	}
 	p.databases = make(map[string]*supervised)
 	p.entries = make(map[string]liveEntry)
+	p.heard = make(map[string]time.Time)
+	p.since = time.Time{}
 	p.view = nil
 	p.next = time.Time{}
 }
@@ -87,6 +92,9 @@
 
 // Tick lets every database move on.
 func (p *promoter) Tick(now time.Time) {
+	if p.since.IsZero() {
+		p.since = now
+	}
 	changed := p.refresh(now)
 	if now.Before(p.next) && !changed {
 		return
@@ -102,6 +110,7 @@
 		p.step(d, promo.Tick{}, now)
 		p.poll(d, now)
 	}
+	p.prune(now)
 	p.n.tidySoon(now)
 }
 
@@ -180,6 +189,7 @@
 
 // observe takes in the reports of an entry.
 func (p *promoter) observe(in *ctlpb.ObserveRequest, now time.Time) {
+	p.heard[in.GetInstance()] = now
 	p.entries[in.GetInstance()] = liveEntry{zone: in.GetZone(), heard: now}
 	for _, o := range in.GetObservations() {
 		d := p.databases[o.GetDatabase()]
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,7 @@
 	stats    *stats.Registry
 	log      zerolog.Logger
 	observer Observer
+	leases   Leases
 	maxConns int
 	seed     uint64
 	learner  *learn.Learner
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -9,6 +9,7 @@
 
 	"tamarackcross/errs"
 	"tamarackcross/group"
+	"tamarackcross/learn"
 	"tamarackcross/wire"
 )
 
@@ -61,6 +62,9 @@
 	before     []string // statements run first, whose answers the caller does not see
 	onlyBefore bool     // nothing follows them
 	keyed      keyState
+	ticket     uint64    // of the slot in use
+	began      time.Time // when the statement was sent
+	grown      bool      // the work was found to be long
 	// primaryAtStart is whether the member was the primary when the request began.
 	primaryAtStart bool
 	broken         bool // a frame to the caller was cut in the middle
@@ -73,6 +77,7 @@
 // answer came whole, whatever it says.
 func (x *execution) run(ctx context.Context) error {
 	x.primaryAtStart = x.b.member.primary()
+	x.began = time.Now()
 	if err := x.sendAll(); err != nil {
 		x.b.tainted = true
 		return errs.New(x.outcomeIfLost(), errs.ReasonBackendLost, "connection to the backend server broke")
@@ -437,6 +442,7 @@
 			return errs.New(x.outcomeIfLost(), errs.ReasonBackendLost, "connection to the backend server broke")
 		}
 		now = time.Now()
+		x.noteGrowth(now)
 		switch {
 		case !now.Before(x.req.deadline):
 			return x.expire(ctx)
@@ -453,6 +459,17 @@
 	}
 }
 
+// noteGrowth counts work that turns out to be long as long from now on.
+func (x *execution) noteGrowth(now time.Time) {
+	if x.grown || x.ticket == 0 {
+		return
+	}
+	if x.c.srv.learner.Running(x.req.fingerprint, now.Sub(x.began), now) == learn.Long {
+		x.grown = true
+		x.b.member.gate.grown(x.ticket)
+	}
+}
+
 const (
 	waitSlice     = 50 * time.Millisecond  // between looks while a statement runs
 	replacedGrace = 100 * time.Millisecond // for the answer of a primary that was replaced
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -8,6 +8,7 @@
 	"tamarackcross/admit"
 	"tamarackcross/errs"
 	"tamarackcross/fleet"
+	"tamarackcross/share"
 )
 
 // gate carries the decisions of an admission queue to the goroutines that wait
@@ -20,6 +21,8 @@
 	timer   *time.Timer
 	armed   time.Time
 	closed  bool
+	usable  share.Amount
+	lease   Lease // nil without sharing
 }
 
 func newGate(slots int, p fleet.Settings) *gate {
@@ -46,7 +49,11 @@
 	g.waiting[r.ID] = ch
 	g.deliver(g.queue.Offer(r, now))
 	g.arm(now)
+	waits := g.queue.Waiting() > 0
 	g.mu.Unlock()
+	if waits {
+		g.changed()
+	}
 	select {
 	case d := <-ch:
 		return verdict(r.ID, d)
@@ -88,9 +95,10 @@
 func (g *gate) leave(id uint64, took time.Duration) {
 	now := time.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.deliver(g.queue.Done(id, took, now))
 	g.arm(now)
+	g.mu.Unlock()
+	g.changed()
 }
 
 // grown reports that running work turned out to be long.
@@ -102,15 +110,6 @@
 	g.arm(now)
 }
 
-// resize changes the number of slots that may be used from now on.
-func (g *gate) resize(slots int) {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.deliver(g.queue.Resize(slots, now))
-	g.arm(now)
-}
-
 // gateLoad is the state of a gate for routing and slot requests.
 type gateLoad struct {
 	slots   int
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -138,6 +138,7 @@
 	}
 	x := c.newExecution(b, req)
 	x.holding, x.checked = true, true
+	x.ticket = ticket
 	x.before = []string{"BEGIN", insertKey(key, record(req.digest(), ""))}
 	err = c.execute(ctx, x)
 	if err == nil {
--- a/entry/member.go
+++ b/entry/member.go
@@ -49,7 +49,7 @@
 
 func newMember(db *database, b Backend) *member {
 	policy := db.srv.policies.Resolve(fleet.Scope{Database: db.name})
-	return &member{
+	m := &member{
 		db:          db,
 		name:        b.Name,
 		zone:        b.Zone,
@@ -59,6 +59,11 @@
 		gate:        newGate(max(1, b.Slots), policy),
 		freed:       make(chan struct{}),
 	}
+	if db.srv.leases != nil {
+		m.gate = newGate(0, policy)
+		m.gate.lease = db.srv.leases.Join(db.name, b.Name, m.gate)
+	}
+	return m
 }
 
 // observe raises the position that the member is known to have applied.
@@ -192,6 +197,9 @@
 
 func (m *member) close() {
 	m.gate.drain(errs.ReasonNoMember)
+	if m.gate.lease != nil {
+		m.gate.lease.Leave()
+	}
 	m.mu.Lock()
 	m.closed = true
 	m.mu.Unlock()
--- a/entry/run.go
+++ b/entry/run.go
@@ -78,6 +78,7 @@
 	}
 	start = time.Now()
 	x := c.newExecution(b, req)
+	x.ticket = ticket
 	err = c.execute(ctx, x)
 	c.srv.learner.Observe(req.fingerprint, time.Since(start), time.Now())
 	c.handBack(x, err)
@@ -140,6 +141,7 @@
 	start := time.Now()
 	x := c.newExecution(tx.conn, req)
 	x.checked = true
+	x.ticket = ticket
 	err = c.execute(ctx, x)
 	m.gate.leave(ticket, time.Since(start))
 	if err != nil {
--- a/inst/inst.go
+++ b/inst/inst.go
@@ -58,6 +58,8 @@
 	stats   *stats.Registry
 	ann     *announcements
 	report  *reporter
+	contact *contact
+	leases  *leases
 	http    *http.Server
 	callers net.Listener
 	peer    net.Listener
@@ -132,7 +134,9 @@
 	i.spread = newSpreader(i.cfg, i.views, i.links, i.log)
 	i.client = ctrl.NewClient(ctrl.DialFunc(i.dial), i.cfg.Control...)
 	i.ann = newAnnouncements(i.views, i.client, i.dial, i.cfg.Password)
-	i.report = newReporter(i.cfg.Name, i.cfg.Zone, i.client)
+	i.contact = newContact(i.cfg, i.views, i.dial)
+	i.leases = newLeases(i)
+	i.report = newReporter(i.cfg.Name, i.cfg.Zone, i.client, i.contact)
 	if i.cfg.DataDir != "" {
 		node, err := ctrl.Open(
 			i.cfg.DataDir, i.cfg.Peer,
@@ -159,7 +163,7 @@
 	opts := []entry.Option{
 		entry.WithName(i.cfg.Name), entry.WithZone(i.cfg.Zone), entry.WithPolicies(i.views),
 		entry.WithCredentials(i.cfg.Backend), entry.WithDial(i.dial), entry.WithStats(i.stats),
-		entry.WithLog(i.log), entry.WithObserver(i.report), entry.WithSeed(uint64(time.Now().UnixNano())),
+		entry.WithLog(i.log), entry.WithObserver(i.report), entry.WithLeases(i.leases), entry.WithSeed(uint64(time.Now().UnixNano())),
 	}
 	if i.cfg.TLS != nil {
 		opts = append(opts, entry.WithTLS(i.cfg.TLS))
@@ -177,7 +181,7 @@
 // Close; a failure is also reported on Failed.
 func (i *Instance) serve() {
 	mux := drpcmux.New()
-	if err := ctlpb.DRPCRegisterPeer(mux, &peerService{s: i.spread}); err != nil {
+	if err := ctlpb.DRPCRegisterPeer(mux, &peerService{s: i.spread, l: i.leases, c: i.contact}); err != nil {
 		i.fail(err)
 	}
 	if i.node != nil {
@@ -197,6 +201,7 @@
 	i.run(i.register)
 	if i.entry != nil {
 		i.run(i.report.run)
+		i.run(i.contact.run)
 		i.run(func(ctx context.Context) error { return i.entry.Serve(ctx, i.callers) })
 	}
 	if i.admin != nil {
@@ -225,33 +230,51 @@
 // use.
 func (i *Instance) Failed() <-chan error { return i.failed }
 
-// registerInterval is how often an instance tries to register.
-const registerInterval = 200 * time.Millisecond
+const (
+	registerInterval = 200 * time.Millisecond // between looks at the registration
+	reregisterAfter  = 2 * time.Second        // for a registration to reach this instance
+)
 
-// register adds the instance to the shared state.
+// register keeps the instance registered in the shared state. Control removes
+// an entry that was silent for too long; it registers again when it is back.
 func (i *Instance) register(ctx context.Context) error {
-	cmd := state.RegisterInstance{Instance: state.Instance{
-		Name: i.cfg.Name, Incarnation: uint64(time.Now().UnixNano()), Zone: i.cfg.Zone,
-		Addresses: i.addresses(), Roles: i.roles(),
-	}}
+	var last time.Time
 	for ctx.Err() == nil {
-		pctx, stop := context.WithTimeout(ctx, announceLimit)
-		result, err := i.client.Propose(pctx, cmd)
-		stop()
-		if err == nil {
-			if r, ok := result.(state.Refused); ok {
-				return eris.Errorf("registration refused: %s %s", r.Reason, r.Detail)
+		changed := i.views.Changed()
+		_, listed := i.views.View().Instance(i.cfg.Name)
+		// Each registration is a new incarnation, which makes the former one give up
+		// what it owns: one that is on its way must not be repeated.
+		if last.IsZero() || !listed && time.Since(last) > reregisterAfter {
+			if i.registerOnce(ctx) {
+				last = time.Now()
 			}
-			return nil
 		}
 		select {
 		case <-ctx.Done():
+		case <-changed:
 		case <-time.After(registerInterval):
 		}
 	}
 	return nil
 }
 
+func (i *Instance) registerOnce(ctx context.Context) bool {
+	ctx, stop := context.WithTimeout(ctx, announceLimit)
+	defer stop()
+	result, err := i.client.Propose(ctx, state.RegisterInstance{Instance: state.Instance{
+		Name: i.cfg.Name, Incarnation: uint64(time.Now().UnixNano()), Zone: i.cfg.Zone,
+		Addresses: i.addresses(), Roles: i.roles(),
+	}})
+	if err != nil {
+		return false
+	}
+	if r, ok := result.(state.Refused); ok {
+		i.log.Error().Str("reason", string(r.Reason)).Str("detail", r.Detail).Msg("registration refused")
+		return false
+	}
+	return true
+}
+
 func (i *Instance) addresses() []string {
 	out := make([]string, addrCount)
 	out[addrPeer], out[addrAdmin], out[addrCallers] = i.cfg.Peer, i.cfg.Admin, i.cfg.Callers
@@ -326,6 +349,9 @@
 			i.log.Error().Err(err).Msg("control role ended")
 		}
 	}
+	if i.leases != nil {
+		i.leases.close()
+	}
 	i.wg.Wait()
 	if i.links != nil {
 		i.links.wait()
--- a/inst/links.go
+++ b/inst/links.go
@@ -24,31 +24,49 @@
 	dial pgctl.DialFunc
 	ctx  context.Context
 
-	mu     sync.Mutex
-	byAddr map[string]*link
-	wg     sync.WaitGroup
+	mu    sync.Mutex
+	byKey map[linkKey]*link
+	wg    sync.WaitGroup
 }
 
-type link struct {
+// linkKey names a link: the instance and the kind of messages.
+type linkKey struct {
 	addr  string
-	queue chan *ctlpb.SpreadEnvelope
+	lease bool
+}
+
+type link struct {
+	key   linkKey
+	queue chan message
 }
 
+// message is a one-way message to another instance: *ctlpb.SpreadEnvelope or
+// *ctlpb.LeaseEnvelope.
+type message interface{ GetFrom() string }
+
 func newLinks(ctx context.Context, dial pgctl.DialFunc) *links {
-	return &links{dial: dial, ctx: ctx, byAddr: make(map[string]*link)}
+	return &links{dial: dial, ctx: ctx, byKey: make(map[linkKey]*link)}
 }
 
-// send queues a message to the instance at addr.
-func (l *links) send(addr string, env *ctlpb.SpreadEnvelope) {
+// sendLease queues a message about leases. They have a connection of their own,
+// since a copy of the state on the same one would delay them.
+func (l *links) sendLease(addr string, env *ctlpb.LeaseEnvelope) {
+	l.send(linkKey{addr: addr, lease: true}, env)
+}
+
+// sendState queues a message of the state dissemination.
+func (l *links) sendState(addr string, env *ctlpb.SpreadEnvelope) { l.send(linkKey{addr: addr}, env) }
+
+func (l *links) send(key linkKey, env message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ctx.Err() != nil {
 		return
 	}
-	k := l.byAddr[addr]
+	k := l.byKey[key]
 	if k == nil {
-		k = &link{addr: addr, queue: make(chan *ctlpb.SpreadEnvelope, linkQueue)}
-		l.byAddr[addr] = k
+		k = &link{key: key, queue: make(chan message, linkQueue)}
+		l.byKey[key] = k
 		l.wg.Add(1)
 		go func() {
 			defer l.wg.Done()
@@ -84,7 +102,7 @@
 			}
 			idle.Reset(linkIdle)
 		case env := <-k.queue:
-			conn = l.deliver(conn, k.addr, env)
+			conn = l.deliver(conn, k.key.addr, env)
 			idle.Reset(linkIdle)
 		}
 	}
@@ -97,12 +115,12 @@
 	if len(k.queue) > 0 {
 		return false
 	}
-	delete(l.byAddr, k.addr)
+	delete(l.byKey, k.key)
 	return true
 }
 
 // deliver sends one message and returns the connection to use next.
-func (l *links) deliver(conn *drpcconn.Conn, addr string, env *ctlpb.SpreadEnvelope) *drpcconn.Conn {
+func (l *links) deliver(conn *drpcconn.Conn, addr string, env message) *drpcconn.Conn {
 	ctx, stop := context.WithTimeout(l.ctx, linkLimit)
 	defer stop()
 	if conn == nil {
@@ -112,9 +130,19 @@
 		}
 		conn = drpcconn.New(nc)
 	}
-	if _, err := ctlpb.NewDRPCPeerClient(conn).Spread(ctx, env); err != nil {
+	if err := call(ctx, ctlpb.NewDRPCPeerClient(conn), env); err != nil {
 		_ = conn.Close()
 		return nil
 	}
 	return conn
 }
+
+func call(ctx context.Context, c ctlpb.DRPCPeerClient, env message) (err error) {
+	switch env := env.(type) {
+	case *ctlpb.SpreadEnvelope:
+		_, err = c.Spread(ctx, env)
+	case *ctlpb.LeaseEnvelope:
+		_, err = c.Lease(ctx, env)
+	}
+	return err
+}
--- a/inst/report.go
+++ b/inst/report.go
@@ -24,18 +24,19 @@
 
 // reporter sends the observations of the entry to the control leader.
 type reporter struct {
-	name   string
-	zone   string
-	client *ctrl.Client
+	name    string
+	zone    string
+	client  *ctrl.Client
+	contact *contact
 
 	mu     sync.Mutex
 	latest map[memberKey]entry.Observation
 	urgent chan struct{}
 }
 
-func newReporter(name, zone string, client *ctrl.Client) *reporter {
+func newReporter(name, zone string, client *ctrl.Client, c *contact) *reporter {
 	return &reporter{
-		name: name, zone: zone, client: client,
+		name: name, zone: zone, client: client, contact: c,
 		latest: make(map[memberKey]entry.Observation), urgent: make(chan struct{}, 1),
 	}
 }
@@ -69,9 +70,7 @@
 		case <-r.urgent:
 		}
 		if in := r.collect(time.Now()); in != nil {
-			rctx, stop := context.WithTimeout(ctx, reportLimit)
-			_ = r.client.Observe(rctx, in)
-			stop()
+			r.send(ctx, in)
 		}
 		select {
 		case <-ctx.Done():
@@ -80,6 +79,15 @@
 	}
 }
 
+func (r *reporter) send(ctx context.Context, in *ctlpb.ObserveRequest) {
+	ctx, stop := context.WithTimeout(ctx, reportLimit)
+	defer stop()
+	at := time.Now()
+	if err := r.client.Observe(ctx, in); err == nil {
+		r.contact.reach(at)
+	}
+}
+
 // maxAge is how old an observation may be to be reported again.
 const maxAge = 700 * time.Millisecond
 
--- a/inst/spread.go
+++ b/inst/spread.go
@@ -110,7 +110,7 @@
 		s.log.Error().Err(err).Msg("state message cannot be encoded")
 		return
 	}
-	s.links.send(addr, &ctlpb.SpreadEnvelope{From: s.name, Address: s.addr, Message: data})
+	s.links.sendState(addr, &ctlpb.SpreadEnvelope{From: s.name, Address: s.addr, Message: data})
 }
 
 // resolve returns the address of a peer. A seed is named by its address.
@@ -127,6 +127,13 @@
 	return ""
 }
 
+// address returns where an instance is reached, or "".
+func (s *spreader) address(peer string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resolve(peer)
+}
+
 // receive takes in a message of a peer.
 func (s *spreader) receive(env *ctlpb.SpreadEnvelope) error {
 	m, err := spread.Decode(env.GetMessage())
@@ -168,11 +175,23 @@
 
 // peerService answers the calls of other instances.
 type peerService struct {
-	ctlpb.DRPCPeerUnimplementedServer
 	s *spreader
+	l *leases
+	c *contact
 }
 
 // Spread takes in one message of the state dissemination.
 func (p *peerService) Spread(_ context.Context, env *ctlpb.SpreadEnvelope) (*ctlpb.SpreadEnd, error) {
 	return &ctlpb.SpreadEnd{}, p.s.receive(env)
 }
+
+// Lease takes in one message about leases.
+func (p *peerService) Lease(_ context.Context, env *ctlpb.LeaseEnvelope) (*ctlpb.LeaseEnd, error) {
+	p.l.receive(env)
+	return &ctlpb.LeaseEnd{}, nil
+}
+
+// Contact tells whether this instance reaches control.
+func (p *peerService) Contact(context.Context, *ctlpb.ContactRequest) (*ctlpb.ContactReply, error) {
+	return &ctlpb.ContactReply{Contact: p.c.has(time.Now())}, nil
+}
