entry: retry budget, circuit breakers and connections opened ahead

Retries spend from a budget per database. A request that needs the primary waits for another one without trying the lost one again once the budget is used up. Breakers feed the routing decision, and the plan of package pool opens connections ahead of demand, closes idle ones and probes them. Each entry uses the connections of a backend server divided by the number of entries.

--- a/entry/backend.go
+++ b/entry/backend.go
@@ -27,6 +27,7 @@
 // backendConn is a connection to a backend server. It is used by one session
 // at a time.
 type backendConn struct {
+	id       uint64 // unique among the connections of the member
 	member   *member
 	wc       *wire.Conn
 	pid      uint32
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -30,6 +30,7 @@
 	deadline    time.Time
 
 	need        group.Position // position that the snapshot of a read must hold
+	term        uint64         // of the group at the last attempt
 	attempts    int
 	tried       []string
 	latest      bool // the bound is the newest acknowledged write
--- a/entry/database.go
+++ b/entry/database.go
@@ -12,6 +12,7 @@
 	"tamarackcross/errs"
 	"tamarackcross/group"
 	"tamarackcross/pgctl"
+	"tamarackcross/retry"
 	"tamarackcross/route"
 )
 
@@ -71,6 +72,12 @@
 	balance  *route.Balance
 	rnd      *rand.Rand
 
+	breakers *retry.Group
+	budget   *retry.Budget
+	// listed are the members that the breakers know, as of listedTerm.
+	listed     []string
+	listedTerm uint64
+
 	policy   *route.Policy
 	confirms confirmer
 	ctx      context.Context
@@ -82,20 +89,23 @@
 func newDatabase(s *Server, name string) *database {
 	ctx, cancel := context.WithCancel(s.ctx)
 	db := &database{
-		srv:     s,
-		name:    name,
-		members: make(map[string]*member),
-		changed: make(chan struct{}),
-		moved:   make(chan struct{}),
-		balance: route.NewBalance(),
-		rnd:     newRand(s.seed, s.name+name),
-		policy:  route.New(),
-		ctx:     ctx,
-		cancel:  cancel,
-		done:    make(chan error, 1),
+		srv:      s,
+		name:     name,
+		members:  make(map[string]*member),
+		changed:  make(chan struct{}),
+		moved:    make(chan struct{}),
+		balance:  route.NewBalance(),
+		rnd:      newRand(s.seed, s.name+name),
+		policy:   route.New(),
+		breakers: retry.NewGroup(s.seed),
+		budget:   retry.NewBudget(s.seed, time.Now()),
+		ctx:      ctx,
+		cancel:   cancel,
+		done:     make(chan error, 1),
 	}
 	db.confirms.init(db)
 	go func() { db.done <- db.watch(ctx) }()
+	db.wg.Go(func() { db.maintain(ctx) })
 	return db
 }
 
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -41,6 +41,8 @@
 type Directory interface {
 	Group(database string) (Group, bool)
 	Databases() []string
+	// Entries returns the number of entries that share the backend servers.
+	Entries() int
 	Changed() <-chan struct{}
 }
 
@@ -80,6 +82,9 @@
 	return names
 }
 
+// Entries returns 1: a directory set by hand knows of no others.
+func (d *StaticDirectory) Entries() int { return 1 }
+
 // Changed returns a channel that is closed at the next change.
 func (d *StaticDirectory) Changed() <-chan struct{} {
 	d.mu.RLock()
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -72,6 +72,7 @@
 // runKeyed runs a write together with its idempotency record. An attempt whose
 // answer was lost is closed before the next one, so that at most one commits.
 func (c *session) runKeyed(ctx context.Context, req *request) error {
+	c.firstTry()
 	for n := 0; n < maxAttempts; {
 		key := attemptKey(c.set.key, n)
 		x, err := c.attemptKeyed(ctx, req, key)
@@ -126,6 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
+	m.grow()
 	ticket, err := m.gate.enter(ctx, c.admission(req))
 	if err != nil {
 		return nil, err
@@ -134,6 +136,7 @@
 	defer func() { m.gate.leave(ticket, time.Since(start)) }()
 	b, err := m.take(ctx)
 	if err != nil {
+		m.settleHealth(err)
 		return nil, err
 	}
 	x := c.newExecution(b, req)
@@ -147,6 +150,7 @@
 	if x.hidden != nil && x.hidden.Code == uniqueViolation {
 		x.keyed = keyTaken
 	}
+	m.settleHealth(err)
 	c.handBack(x, err)
 	return x, err
 }
@@ -302,6 +306,10 @@
 	return outcome, value
 }
 
+// closePause is the wait between attempts to close a key. The usual cause of a
+// failed one is a change of primary, which ends the wait early.
+const closePause = 20 * time.Millisecond
+
 // closeAttempt repeats tryClose until it is conclusive. fresh reports that the
 // tombstone was not there before.
 func (c *session) closeAttempt(ctx context.Context, key string) (outcome errs.Outcome, value string, fresh bool) {
@@ -314,7 +322,7 @@
 		if err == nil {
 			return errs.Done, value, false
 		}
-		c.pause(ctx, nil)
+		c.awaitChange(ctx, closePause)
 	}
 	return errs.Unknown, "", false
 }
--- a/entry/member.go
+++ b/entry/member.go
@@ -9,12 +9,11 @@
 	"tamarackcross/fleet"
 	"tamarackcross/group"
 	"tamarackcross/pgctl"
+	"tamarackcross/pool"
 )
 
 const (
 	connectTimeout = 2 * time.Second        // for opening a connection
-	maxIdle        = 5 * time.Minute        // an idle connection is closed after this
-	probeIdle      = 30 * time.Second       // an idle connection is probed before its next use
 	probeReuse     = 200 * time.Millisecond // one probe answers for all requests within this
 )
 
@@ -32,6 +31,9 @@
 	mu      sync.Mutex
 	idle    []*backendConn
 	open    int // connections that are open or being opened
+	opening int // of these, opened ahead of demand
+	nextID  uint64
+	plan    *pool.Plan
 	freed   chan struct{}
 	closed  bool
 	applied group.Position
@@ -58,6 +60,7 @@
 		connections: max(1, b.Connections),
 		gate:        newGate(max(1, b.Slots), policy),
 		freed:       make(chan struct{}),
+		plan:        pool.New(pool.WithProbe(policy.ProbeInterval), pool.WithSpare(policy.IdleConnections), pool.WithSilence(policy.SilenceLimit)),
 	}
 	if db.srv.leases != nil {
 		m.gate = newGate(0, policy)
@@ -100,7 +103,7 @@
 // reached. The caller holds a slot.
 func (m *member) take(ctx context.Context) (*backendConn, error) {
 	for {
-		b, freed, err := m.tryTake(time.Now())
+		b, freed, err := m.tryTake()
 		if err != nil {
 			return nil, err
 		}
@@ -120,22 +123,18 @@
 
 // tryTake returns an idle connection, or nothing when one may be opened, or the
 // channel to wait on when the limit is reached.
-func (m *member) tryTake(now time.Time) (*backendConn, <-chan struct{}, error) {
+func (m *member) tryTake() (*backendConn, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
 		return nil, nil, errs.New(errs.NotRun, errs.ReasonNoMember, "backend server is gone")
 	}
-	for n := len(m.idle); n > 0; n = len(m.idle) {
+	if n := len(m.idle); n > 0 {
 		b := m.idle[n-1]
 		m.idle = m.idle[:n-1]
-		if now.Sub(b.used) < maxIdle {
-			return b, nil, nil
-		}
-		m.open--
-		b.close()
+		return b, nil, nil
 	}
-	if m.open < m.connections {
+	if m.open < m.limit() {
 		m.open++
 		return nil, nil, nil
 	}
@@ -151,7 +150,12 @@
 		m.closedOne()
 		return nil, errs.New(errs.NotRun, errs.ReasonConnect, "no connection to the backend server could be opened")
 	}
-	return newBackendConn(m, h, time.Now()), nil
+	b := newBackendConn(m, h, time.Now())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nextID++
+	b.id = m.nextID
+	return b, nil
 }
 
 func (m *member) closedOne() {
--- a/entry/route.go
+++ b/entry/route.go
@@ -17,6 +17,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if g, err := db.group(); err == nil {
+		req.term = g.Term
+	}
 	q, err := c.routeQuery(ctx, db, req)
 	if err != nil {
 		return nil, err
@@ -93,12 +96,16 @@
 	}
 	db.mu.Lock()
 	defer db.mu.Unlock()
+	db.follow(g)
 	view := route.Group{
 		Term: g.Term, History: g.History, Primary: g.Primary,
 		Samples: &db.samples, Penalty: db.balance.Penalty(),
 	}
 	for _, b := range g.Members {
-		view.Members = append(view.Members, db.memberLocked(b).view(b, g, now))
+		m := db.memberLocked(b).view(b, g, now)
+		m.Open = !db.breakers.Usable(b.Name, now)
+		m.Weight = db.breakers.Weight(b.Name, now)
+		view.Members = append(view.Members, m)
 	}
 	choice := db.policy.Pick(q, view, now, db.rnd)
 	if use, ok := choice.(route.Use); ok && !q.Write {
@@ -107,6 +114,19 @@
 	return choice
 }
 
+// follow makes the breakers fit the members of the group. The caller holds mu.
+func (db *database) follow(g Group) {
+	if len(db.listed) == len(g.Members) && db.listedTerm == g.Term {
+		return
+	}
+	names := make([]string, len(g.Members))
+	for i, b := range g.Members {
+		names[i] = b.Name
+	}
+	db.breakers.SetMembers(names)
+	db.listed, db.listedTerm = names, g.Term
+}
+
 // view describes the member to the routing decision.
 func (m *member) view(b Backend, g Group, now time.Time) route.Member {
 	load := m.gate.load()
--- a/entry/run.go
+++ b/entry/run.go
@@ -24,6 +24,7 @@
 	if c.set.key != "" && req.write && !req.begins {
 		return c.runKeyed(dctx, req)
 	}
+	c.firstTry()
 	for {
 		x, err := c.attempt(dctx, req)
 		if err == nil && !x.rejected() {
@@ -66,6 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
+	m.grow()
 	ticket, err := m.gate.enter(ctx, c.admission(req))
 	if err != nil {
 		return nil, err
@@ -74,6 +76,7 @@
 	defer func() { m.gate.leave(ticket, time.Since(start)) }()
 	b, err := m.take(ctx)
 	if err != nil {
+		m.settleHealth(err)
 		return nil, err
 	}
 	start = time.Now()
@@ -81,6 +84,7 @@
 	x.ticket = ticket
 	err = c.execute(ctx, x)
 	c.srv.learner.Observe(req.fingerprint, time.Since(start), time.Now())
+	m.settleHealth(err)
 	c.handBack(x, err)
 	return x, err
 }
@@ -274,45 +278,6 @@
 	return c.replyError(e, req.ready)
 }
 
-// mayRetry decides whether another attempt is safe and worth it: nothing may
-// have run, nothing may have gone to the caller, and time and budget must be
-// left. A write is tried again only with proof that it did not run.
-func (c *session) mayRetry(ctx context.Context, req *request, x *execution, e *errs.Error) bool {
-	if ctx.Err() != nil || e.Outcome() != errs.NotRun {
-		return false
-	}
-	if x != nil && x.released {
-		return false
-	}
-	switch e.Reason() {
-	case errs.ReasonBelowBound:
-		req.primaryOnly = true
-		return true
-	case errs.ReasonStalePrimary, errs.ReasonNoPrimary, errs.ReasonConnect, errs.ReasonBackendLost, errs.ReasonBackendSilent:
-	default:
-		return false
-	}
-	if x != nil {
-		x.b.member.dropIdle()
-		req.tried = append(req.tried, x.b.member.name)
-	}
-	return c.pause(ctx, req)
-}
-
-// retryPause is the wait before another attempt; a change of the directory ends
-// it early, since the reason of most retries is a change of primary.
-const retryPause = 20 * time.Millisecond
-
-func (c *session) pause(ctx context.Context, _ *request) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-c.srv.dir.Changed():
-	case <-time.After(retryPause):
-	}
-	return true
-}
-
 // admit refuses what cannot start at all.
 func (c *session) admit(req *request, now time.Time) error {
 	if !now.Before(req.deadline) {
--- a/inst/views.go
+++ b/inst/views.go
@@ -26,6 +26,9 @@
 type indexed struct {
 	view   *state.View
 	groups sync.Map // name -> entry.Group
+
+	countOnce sync.Once
+	entries   int
 }
 
 // NewViews returns the empty state.
@@ -68,6 +71,19 @@
 	return names
 }
 
+// Entries returns the number of entries.
+func (v *Views) Entries() int {
+	x := v.current.Load()
+	x.countOnce.Do(func() {
+		for i := range x.view.Instances() {
+			if i.Has(state.RoleEntry) {
+				x.entries++
+			}
+		}
+	})
+	return x.entries
+}
+
 // Group returns the group that serves a database, once it has a first term.
 func (v *Views) Group(database string) (entry.Group, bool) {
 	x := v.current.Load()
