entry: bounds by age rest on confirmed samples only

Cause: samples of the primary's position were taken from the watch alone. An isolated primary goes on answering it, so its entries would have taken an old position for the present one and served reads older than the caller allows. Samples now come from a confirmation by a majority that starts after their time; the watch is used to estimate lag only.

Also: a settlement that fails inside a transaction ends the transaction instead of reporting it as idle; replicas of groups larger than three are not trusted beyond the known majority; a session that knows a newer term than the entry waits for the news instead of being refused.

--- a/entry/conns.go
+++ b/entry/conns.go
@@ -17,8 +17,9 @@
 // maintain opens connections ahead of demand, closes those that are not needed
 // and probes idle ones, until ctx ends.
 func (db *database) maintain(ctx context.Context) {
-	t := time.NewTicker(maintainInterval)
+	t := time.NewTicker(sampleInterval)
 	defer t.Stop()
+	var looked time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -26,6 +27,11 @@
 		case <-t.C:
 		}
 		now := time.Now()
+		db.sample(ctx, now)
+		if now.Sub(looked) < maintainInterval {
+			continue
+		}
+		looked = now
 		for _, m := range db.all() {
 			m.maintain(ctx, now)
 		}
--- a/entry/database.go
+++ b/entry/database.go
@@ -69,6 +69,9 @@
 	changed  chan struct{}  // closed at each rise of majority
 	moved    chan struct{}  // closed when a member is seen to have applied more
 	samples  route.Samples  // positions of the primary over time
+	sampled  time.Time      // when the last sample was taken
+	lastRead time.Time      // when the last read came
+	seen     route.Samples  // positions of the primary as the watch saw them, to estimate lag
 	balance  *route.Balance
 	rnd      *rand.Rand
 
@@ -217,17 +220,15 @@
 func (db *database) watchOnce(ctx context.Context, c *pgctl.Conn, after group.Position) (group.Position, error) {
 	ctx, stop := context.WithTimeout(ctx, watchTimeout)
 	defer stop()
-	asked := time.Now()
 	reports, err := c.Watch(ctx, after, watchPoll)
 	if err != nil {
 		return after, err
 	}
-	return db.learn(reports, asked, time.Now()), nil
+	return db.learn(reports, time.Now()), nil
 }
 
-// learn takes in what the primary reported. The primary answered after asked,
-// so its position covers every commit before that.
-func (db *database) learn(reports []pgctl.Report, asked, now time.Time) group.Position {
+// learn takes in what the primary reported.
+func (db *database) learn(reports []pgctl.Report, now time.Time) group.Position {
 	g, err := db.group()
 	if err != nil {
 		return group.Position{}
@@ -235,7 +236,9 @@
 	var top group.Position
 	for _, r := range reports {
 		if r.Member == g.Primary {
-			db.sample(r.Held, asked)
+			db.mu.Lock()
+			db.seen.Add(now, r.Held)
+			db.mu.Unlock()
 		}
 	}
 	for _, r := range reports {
@@ -248,11 +251,42 @@
 	return top
 }
 
-// sample records that everything committed before asked is covered by p.
-func (db *database) sample(p group.Position, asked time.Time) {
+const (
+	sampleInterval = 100 * time.Millisecond // between samples of the position of the primary
+	sampleFor      = 10 * time.Second       // samples are taken this long after a read
+)
+
+// sample records a position of the primary for bounds by age. It is confirmed
+// by a majority round that starts after now: without it, an isolated primary
+// would make old data look fresh.
+func (db *database) sample(ctx context.Context, now time.Time) {
+	if !db.sampleDue(now) {
+		return
+	}
+	p, err := db.confirms.current(ctx)
+	if err != nil {
+		return
+	}
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.samples.Add(now, p)
+}
+
+func (db *database) sampleDue(now time.Time) bool {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	if now.Sub(db.lastRead) > sampleFor || now.Sub(db.sampled) < sampleInterval {
+		return false
+	}
+	db.sampled = now
+	return true
+}
+
+// noteRead records a read, for which samples are taken.
+func (db *database) noteRead(now time.Time) {
 	db.mu.Lock()
 	defer db.mu.Unlock()
-	db.samples.Add(asked, p)
+	db.lastRead = now
 }
 
 // move wakes the sessions that wait for a member.
@@ -270,7 +304,7 @@
 	if !p.Less(db.majority) {
 		return 0
 	}
-	at, ok := db.samples.Reached(p)
+	at, ok := db.seen.Reached(p)
 	if !ok {
 		return 0
 	}
--- a/entry/route.go
+++ b/entry/route.go
@@ -37,12 +37,23 @@
 				return nil, err
 			}
 		case route.Reject:
+			if choice.Reason == errs.ReasonBoundUnknown && c.ahead(req) && c.awaitChange(ctx, req.deadline.Sub(now)) {
+				continue
+			}
 			return nil, errs.New(errs.NotRun, choice.Reason, "no member may serve the request",
 				errs.WithRetryAfter(choice.RetryAfter))
 		}
 	}
 }
 
+// ahead reports whether the session knows a newer term than this entry, which
+// then waits for the news: the session was at an entry that had it.
+func (c *session) ahead(req *request) bool {
+	p, ok := c.vector.At(c.database)
+	g, known := c.srv.dir.Group(c.database)
+	return ok && known && p.Term > g.Term && !time.Now().After(req.deadline)
+}
+
 // routeQuery describes the request to the routing decision.
 func (c *session) routeQuery(ctx context.Context, db *database, req *request) (route.Query, error) {
 	est := c.srv.learner.Lookup(req.fingerprint, req.arrived)
@@ -82,6 +93,7 @@
 		}
 		c.vector = c.vector.With(c.database, p)
 	}
+	db.noteRead(time.Now())
 	if c.set.bound == boundAge {
 		return group.AgeBound{Max: c.set.maxAge, Position: p}, nil
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -224,7 +224,9 @@
 		}
 	}
 	if x.holding || req.isLatest() {
-		if err := c.settle(ctx, req, x); err != nil {
+		if err := c.settle(ctx, req, x); err != nil && c.tx != nil {
+			return c.abortTx(req, asError(err))
+		} else if err != nil {
 			return c.giveUp(req, x, asError(err))
 		}
 	}
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -96,10 +96,17 @@
 	return g.History.Contains(p) == group.Kept && !p.Less(need)
 }
 
-// unsettled reports whether a snapshot of a primary may still be discarded by a
-// promotion.
+// smallGroup is the largest group in which a replica that holds a position makes
+// a majority together with the primary.
+const smallGroup = 3
+
+// unsettled reports whether a snapshot may still be discarded by a promotion.
 func (c *session) unsettled(m *member, p group.Position, located bool) bool {
-	return located && m.primary() && !m.db.confirmed(p)
+	if !located || m.db.confirmed(p) {
+		return false
+	}
+	g, ok := m.db.srv.dir.Group(m.db.name)
+	return ok && (g.Primary == m.name || len(g.Members) > smallGroup)
 }
 
 // primary reports whether the member is the primary as far as is known here.
