--- a/spread/pull.go
+++ b/spread/pull.go
@@ -69,16 +69,20 @@
 	}
 }
 
-// onBatch applies consecutive deltas. They are not passed on: the peers had
-// them pushed already.
+// onBatch applies consecutive deltas. Only the last one is passed on, if it is
+// long: the peers had the others pushed already.
 func (c *Core) onBatch(m Batch, now time.Time) {
 	if c.pull != nil && c.pull.peer == m.From {
 		c.endPull()
 	}
+	fresh := false
 	for _, d := range m.Deltas {
-		c.hold(d)
+		fresh = c.hold(d)
 		c.drain(now)
 	}
+	if n := len(m.Deltas); fresh && sizeOf(m.Deltas[n-1].Changes) > maxPush {
+		c.forward(m.Deltas[n-1], m.From, now)
+	}
 }
 
 // answered returns the pull that a message of the peer belongs to. An answer
@@ -170,11 +174,11 @@
 		build = p.base.Replace
 	}
 	v, err := build(p.target, changes)
-	if err != nil || v.Digest() != p.digest {
-		c.whole = true
-		if c.join != nil {
-			c.join.drop(p.peer, now)
-		}
+	if err == nil && v.Digest() != p.digest {
+		err = ErrDigest
+	}
+	if err != nil {
+		c.reject(p, err, now)
 		return
 	}
 	c.whole = false
@@ -182,3 +186,12 @@
 	c.install(v, keysOf(changes), whole || p.base != c.View())
 	c.drain(now)
 }
+
+// reject leaves the view as it is after an answer that cannot be installed.
+func (c *Core) reject(p *pull, err error, now time.Time) {
+	c.whole = true
+	if c.join != nil {
+		c.join.drop(p.peer, now)
+	}
+	c.out = append(c.out, Rejected{Stamp: p.target, Err: err})
+}
