raft: send a new learner the log at once

Cause: appendAsLeader appends the membership entry before it creates the peer, and the peer started with next = last+1, beyond the end of the log. Nothing was sent to the learner until somebody proposed another entry, so in a quiet fleet a member that lost its disk never caught up and was never promoted.

Ruled out: lost messages (heartbeats and their replies of every round arrived) and the codec (no append was sent at all; seen in a trace of Step).

Before: learner at match 0 after 10 s with no further proposal.

--- a/raft/leader.go
+++ b/raft/leader.go
@@ -36,13 +36,15 @@
 	n.votes = nil
 	n.lead = &leadership{start: n.log.last() + 1, peers: map[ID]*peer{}, beat: now.Add(n.cfg.heartbeat)}
 	n.lead.openRound(now)
-	n.syncPeers(now)
+	n.syncPeers(n.lead.start, now)
 	n.appendAsLeader(KindEmpty, nil, now)
 }
 
 // syncPeers matches the peers with the membership. A new peer counts as heard
-// from now, so that its addition does not end the leadership at once.
-func (n *Node) syncPeers(now time.Time) {
+// from now, so that its addition does not end the leadership at once. The first
+// entry tried with it is next: beyond the end of the log nothing would be sent
+// to it until the next proposal.
+func (n *Node) syncPeers(next Index, now time.Time) {
 	ms := n.members()
 	for id := range n.lead.peers {
 		if _, ok := ms.Find(id); !ok {
@@ -53,7 +55,7 @@
 		if m.ID == n.hard.ID || n.lead.peers[m.ID] != nil {
 			continue
 		}
-		n.lead.peers[m.ID] = &peer{next: n.log.last() + 1, probing: true, heard: now}
+		n.lead.peers[m.ID] = &peer{next: next, probing: true, heard: now}
 	}
 }
 
@@ -129,7 +131,7 @@
 	e := Entry{Index: n.log.last() + 1, Term: n.hard.Term, Kind: kind, Data: data}
 	n.appendEntries(e)
 	if kind == KindMembers {
-		n.syncPeers(now)
+		n.syncPeers(e.Index, now)
 	}
 	n.eachPeer(n.replicate)
 	n.advanceCommit(now)
