ctrl: let a member that lost its disk answer the leader

Cause: messages to other members are addressed through the membership in the own log. A member that joins under a new identity has an empty log, so every reply to the leader was dropped and the learner never counted as reached. The membership that other members name in their answer to Hello is now used while the own log does not list the recipient.

Ruled out: the leader (it had added the learner and sent heartbeats); the wire (heartbeats arrived at the new member).

Before: status of the learner at the leader Recent=false for good.

--- a/ctrl/join.go
+++ b/ctrl/join.go
@@ -47,6 +47,7 @@
 			continue
 		}
 		if b := reply.GetBootstrap(); b != nil && len(b.GetMembers()) > 0 {
+			n.learnContacts(reply)
 			return raft.MembersFromProto(b), true
 		}
 		members = append(members, raft.Member{ID: raft.ID(reply.GetId()), Address: addr})
@@ -81,8 +82,11 @@
 			return
 		}
 		for _, addr := range n.initial {
-			if addr != n.addr {
-				_, _ = n.hello(n.ctx, addr)
+			if addr == n.addr {
+				continue
+			}
+			if reply, err := n.hello(n.ctx, addr); err == nil {
+				n.learnContacts(reply)
 			}
 		}
 		select {
@@ -92,6 +96,25 @@
 	}
 }
 
+// learnContacts keeps the membership that another member named. A member whose
+// own log is still empty can answer the leader only at an address found there.
+func (n *Node) learnContacts(reply *ctlpb.HelloReply) {
+	members := raft.MembersFromProto(reply.GetMembers())
+	if len(members) == 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.contacts = members
+}
+
+// contact returns a member that is not in the own log yet.
+func (n *Node) contact(id raft.ID) (raft.Member, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.contacts.Find(id)
+}
+
 // admit adds a member that introduced itself. A member that comes back under a
 // new identity lost its disk: it is added as a learner, promoted once it has
 // caught up, and only then its old identity is removed, so that the number of
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -64,8 +64,9 @@
 	duties   duties
 	tidied   time.Time
 
-	mu     sync.Mutex
-	status raft.Status
+	mu       sync.Mutex
+	status   raft.Status
+	contacts raft.Members // as other members named them, while this one joins
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/ctrl/wires.go
+++ b/ctrl/wires.go
@@ -46,6 +46,9 @@
 	for _, m := range msgs {
 		to := m.Head().To
 		member, ok := members.Find(to)
+		if !ok {
+			member, ok = w.n.contact(to)
+		}
 		if !ok {
 			continue
 		}
