ctrl: keep the identity outside the store

Cause: Identity and Hello read the hard state of the store while the loop writes it; the race detector reports it in every start of a cluster. The identity never changes while the folder is open, so it is read once at Open.

Before: go test -race ./ctrl reports DATA RACE in store.record and store.Identity.

--- a/ctrl/join.go
+++ b/ctrl/join.go
@@ -66,7 +66,7 @@
 	conn := drpcconn.New(nc)
 	defer conn.Close()
 	return ctlpb.NewDRPCControlClient(conn).Hello(ctx, &ctlpb.HelloRequest{
-		Id: uint64(n.store.Identity()), Address: n.addr, Instance: n.name,
+		Id: uint64(n.id), Address: n.addr, Instance: n.name,
 	})
 }
 
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -51,6 +51,7 @@
 	leader   leaderFactory
 
 	store   *store.Store
+	id      raft.ID // kept here because the loop writes the store
 	machine *state.Machine
 	inbox   chan event
 	wires   *wires
@@ -152,7 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.store = st
+	n.store, n.id = st, st.Identity()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.wires = newWires(n)
 	go func() {
@@ -187,7 +188,7 @@
 
 // Identity returns the identity of the member, which changes when its data
 // folder is lost.
-func (n *Node) Identity() raft.ID { return n.store.Identity() }
+func (n *Node) Identity() raft.ID { return n.id }
 
 // Status returns the status after the last event.
 func (n *Node) Status() raft.Status {
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -30,7 +30,7 @@
 
 // Hello answers a member that introduces itself.
 func (s *service) Hello(ctx context.Context, in *ctlpb.HelloRequest) (*ctlpb.HelloReply, error) {
-	reply := &ctlpb.HelloReply{Id: uint64(s.n.store.Identity())}
+	reply := &ctlpb.HelloReply{Id: uint64(s.n.id)}
 	st := s.n.Status()
 	if len(st.Members) == 0 {
 		return reply, nil
