inst: show no state before it is known to be current

Cause: a view was put into force as soon as any piece of state arrived. Views now change only once the start procedure has found the newest state that peers know, and GET /v1/fleet and /v1/status answer 503 until then. The status of the fleet counts such an instance as not reachable.

Ruled out: the dissemination core; it reported Ready only at the highest stamp that its peers named.

Before: TestRestartAfterChanges saw version 0 where the instance had 1.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -127,6 +127,9 @@
 type Backend interface {
 	// Ready returns nil if callers may be sent to this instance.
 	Ready() error
+	// Current returns nil once the instance knows the shared state. Before, it
+	// shows none: it could be older than what it showed before a restart.
+	Current() error
 	Announce(ctx context.Context, a Announcement) error
 	Fleet() Fleet
 	Change(ctx context.Context, c Change) (ChangeResult, error)
@@ -144,10 +147,10 @@
 		_ = b.Stats().WriteText(w)
 	})
 	mux.HandleFunc("POST /v1/announce", func(w http.ResponseWriter, r *http.Request) { announce(w, r, b) })
-	mux.HandleFunc("GET /v1/fleet", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, b.Fleet()) })
+	mux.HandleFunc("GET /v1/fleet", func(w http.ResponseWriter, _ *http.Request) { show(w, b, func() any { return b.Fleet() }) })
 	mux.HandleFunc("POST /v1/fleet", func(w http.ResponseWriter, r *http.Request) { change(w, r, b) })
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
-		reply(w, http.StatusOK, b.Status(r.Context()))
+		show(w, b, func() any { return b.Status(r.Context()) })
 	})
 	return mux
 }
@@ -171,6 +174,15 @@
 	_, _ = io.WriteString(w, "ready\n")
 }
 
+// show answers with a part of the shared state once it is known.
+func show(w http.ResponseWriter, b Backend, body func() any) {
+	if err := b.Current(); err != nil {
+		reply(w, http.StatusServiceUnavailable, failure{Error: err.Error()})
+		return
+	}
+	reply(w, http.StatusOK, body())
+}
+
 func decode(w http.ResponseWriter, r *http.Request, into any) bool {
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
 	d.DisallowUnknownFields()
--- a/cmds/fleet.go
+++ b/cmds/fleet.go
@@ -256,7 +256,11 @@
 
 func (c *fleetCommand) status(stdout io.Writer) error {
 	var st admin.Status
-	if _, err := c.call(http.MethodGet, "/v1/status", nil, &st); err != nil {
+	code, err := c.call(http.MethodGet, "/v1/status", nil, &st)
+	if err == nil && code != http.StatusOK {
+		err = eris.Errorf("instance answered with status %d", code)
+	}
+	if err != nil {
 		return err
 	}
 	fmt.Fprintf(stdout, "version %d, change %q by %q\n\n", st.Fleet.Version, st.Fleet.ID, st.Fleet.Author)
--- a/inst/fleet.go
+++ b/inst/fleet.go
@@ -23,10 +23,8 @@
 
 // Ready returns nil if callers may be sent to this instance.
 func (i *Instance) Ready() error {
-	select {
-	case <-i.spread.ready:
-	default:
-		return errNotCurrent
+	if err := i.Current(); err != nil {
+		return err
 	}
 	if i.entry != nil && i.entry.Draining() {
 		return errDraining
@@ -42,6 +40,16 @@
 	return i.ann.Announce(ctx, a)
 }
 
+// Current returns nil once the instance knows the shared state.
+func (i *Instance) Current() error {
+	select {
+	case <-i.spread.ready:
+		return nil
+	default:
+		return errNotCurrent
+	}
+}
+
 // Fleet returns the configuration in force here.
 func (i *Instance) Fleet() admin.Fleet {
 	v := i.views.View()
@@ -133,6 +141,9 @@
 		return info
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return info
+	}
 	var f admin.Fleet
 	if err := json.NewDecoder(resp.Body).Decode(&f); err != nil {
 		return info
--- a/inst/spread.go
+++ b/inst/spread.go
@@ -91,15 +91,27 @@
 	case spread.Send:
 		s.send(a)
 	case spread.Apply:
-		s.views.Set(a.View)
+		s.show()
 	case spread.Ready:
 		s.log.Info().Str("stamp", a.Stamp.String()).Msg("shared state is current, instance may serve")
 		s.once.Do(func() { close(s.ready) })
+		s.show()
 	case spread.Diverged:
 		s.log.Error().Str("peer", a.Peer).Str("stamp", a.Stamp.String()).Msg("peer holds another state at the same stamp")
 	}
 }
 
+// show puts the newest state into force. Before the instance is ready its state
+// may be older than the one that it had before a restart: a control member
+// replays its log from the last snapshot.
+func (s *spreader) show() {
+	select {
+	case <-s.ready:
+		s.views.Set(s.core.View())
+	default:
+	}
+}
+
 func (s *spreader) send(a spread.Send) {
 	addr := s.resolve(a.Peer)
 	if addr == "" {
@@ -115,7 +127,7 @@
 
 // resolve returns the address of a peer. A seed is named by its address.
 func (s *spreader) resolve(peer string) string {
-	if i, ok := s.views.View().Instance(peer); ok && len(i.Addresses) > addrPeer {
+	if i, ok := s.core.View().Instance(peer); ok && len(i.Addresses) > addrPeer {
 		return i.Addresses[addrPeer]
 	}
 	if addr, ok := s.known[peer]; ok {
