--- /dev/null
+++ b/inst/rig_test.go
@@ -0,0 +1,173 @@
+package inst_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"tamarackcross/admin"
+	"tamarackcross/emul"
+	"tamarackcross/entry"
+	"tamarackcross/fleet"
+	"tamarackcross/inst"
+	"tamarackcross/pgctl"
+)
+
+const (
+	waitLimit = 10 * time.Second // for a condition that must come true
+	waitPoll  = 2 * time.Millisecond
+	forceGoal = 2 * time.Second // for a change to be in force everywhere (P7, P9)
+)
+
+var testKey = bytes.Repeat([]byte{7}, 32)
+
+// await polls cond until it holds, and returns how long that took.
+func await(t *testing.T, what string, limit time.Duration, cond func() bool) time.Duration {
+	t.Helper()
+	start := time.Now()
+	for !cond() {
+		if time.Since(start) > limit {
+			t.Fatalf("not within %s: %s", limit, what)
+		}
+		time.Sleep(waitPoll)
+	}
+	return time.Since(start)
+}
+
+// rig is instances without backend servers that can be stopped and started
+// again. The first ones have the control role.
+type rig struct {
+	t    *testing.T
+	net  *emul.Network
+	cfgs []inst.Config
+	ins  []*inst.Instance
+}
+
+func newRig(t *testing.T, control, entries int) *rig {
+	t.Helper()
+	r := &rig{t: t, net: emul.NewNetwork()}
+	t.Cleanup(r.close)
+	root := t.TempDir()
+	var addrs []string
+	for range control + entries {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
+	}
+	for i, addr := range addrs {
+		cfg := inst.Config{
+			Name: fmt.Sprintf("instance-%d", i+1), Zone: fmt.Sprintf("zone-%d", i%3+1),
+			Callers: "127.0.0.1:0", Peer: addr, Admin: "127.0.0.1:0", Control: addrs[:control],
+			TokenKey: testKey, Backend: entry.Credentials{User: "app"},
+		}
+		if i < control {
+			cfg.DataDir = filepath.Join(root, cfg.Name)
+		}
+		r.cfgs = append(r.cfgs, cfg)
+	}
+	r.ins = make([]*inst.Instance, len(addrs))
+	return r
+}
+
+func (r *rig) startAll() {
+	r.t.Helper()
+	for i := range r.cfgs {
+		r.start(i)
+	}
+	for i, in := range r.ins {
+		await(r.t, r.cfgs[i].Name+" is ready", waitLimit, func() bool { return in.Ready() == nil })
+	}
+}
+
+func (r *rig) start(i int) *inst.Instance {
+	r.t.Helper()
+	cfg := r.cfgs[i]
+	in, err := inst.Start(cfg, inst.WithDial(pgctl.DialFunc(r.net.Dialer(cfg.Name, cfg.Zone))))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.ins[i] = in
+	return in
+}
+
+func (r *rig) stop(i int) {
+	r.ins[i].Close()
+	r.ins[i] = nil
+}
+
+func (r *rig) close() {
+	for _, in := range r.ins {
+		if in != nil {
+			in.Close()
+		}
+	}
+	r.net.Close()
+}
+
+// document returns the default document with another deadline.
+func document(t *testing.T, deadline time.Duration) string {
+	t.Helper()
+	doc, err := fleet.Default().WithDefault("deadline", deadline.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(doc.YAML())
+}
+
+// change makes a change that must be accepted.
+func change(t *testing.T, in *inst.Instance, base uint64, doc string) uint64 {
+	t.Helper()
+	id := fmt.Sprintf("change-%d", base+1)
+	r, err := in.Change(context.Background(), admin.Change{ID: id, Base: base, Author: "test", Document: doc})
+	if err != nil || !r.Accepted {
+		t.Fatalf("change %s: %+v, %v", id, r, err)
+	}
+	return r.Version
+}
+
+// call sends a request to the HTTP interface of an instance.
+func call(t *testing.T, method, addr, path string, body, into any) int {
+	t.Helper()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), waitLimit)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// flip changes one byte of a file.
+func flip(t *testing.T, path string, offset int) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[offset] ^= 0xff
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
