--- a/raft/leader.go
+++ b/raft/leader.go
@@ -40,10 +40,9 @@
 	n.appendAsLeader(KindEmpty, nil, now)
 }
 
-// syncPeers matches the peers with the membership. A new peer counts as heard
-// from now, so that its addition does not end the leadership at once. The first
-// entry tried with it is next: beyond the end of the log nothing would be sent
-// to it until the next proposal.
+// syncPeers matches the peers with the membership. A new peer is first sent the
+// entry at next, so that the leader learns from its reply what it holds. It
+// counts as heard from now, so that it does not end the leadership at once.
 func (n *Node) syncPeers(next Index, now time.Time) {
 	ms := n.members()
 	for id := range n.lead.peers {
@@ -244,10 +243,10 @@
 }
 
 func (n *Node) onAccepted(p *peer, i Index, now time.Time) {
-	if i > n.log.last() || (i <= p.match && !p.probing) {
+	if i > n.log.last() || i <= p.match {
 		return
 	}
-	p.match = max(p.match, i)
+	p.match = i
 	p.next = max(p.next, p.match+1)
 	if p.probing {
 		p.next, p.inflight, p.probing = p.match+1, nil, false
--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -168,7 +168,7 @@
 			s.check(name, a)
 		case spread.Ready:
 			n.ready = true
-			if s.drop == 0 && a.Stamp.Less(n.asked) {
+			if a.Stamp.Less(n.asked) {
 				s.fail("%s serves %s although a peer that it asked held %s", name, a.Stamp, n.asked)
 			}
 		case spread.Diverged:
@@ -207,7 +207,7 @@
 	if !s.reachable(from, a.Peer) || s.rnd.Float64() < s.drop {
 		return
 	}
-	if m, ok := a.Message.(spread.Summary); ok && m.Purpose == spread.Ask && n.asked.Less(s.nodes[a.Peer].stamp) {
+	if m, ok := a.Message.(spread.Summary); ok && s.drop == 0 && m.Purpose == spread.Ask && n.asked.Less(s.nodes[a.Peer].stamp) {
 		n.asked = s.nodes[a.Peer].stamp
 	}
 	for range 1 + int(s.rnd.Float64()+s.dup) {
@@ -216,10 +216,17 @@
 	}
 }
 
+// disturb forgets who was asked: a fault may now lose the answers.
+func (s *sim) disturb() {
+	for _, n := range s.nodes {
+		n.asked = state.Stamp{}
+	}
+}
+
 // advance runs the network for the given time.
 func (s *sim) advance(d time.Duration) {
 	end := s.now.Add(d)
-	for len(s.q) > 0 && !s.q[0].at.After(end) {
+	for s.err == nil && len(s.q) > 0 && !s.q[0].at.After(end) {
 		e := heap.Pop(&s.q).(event)
 		s.now = e.at
 		n := s.nodes[e.node]
