entry, wire: bound each wait for a caller, not the whole answer

Causes, found by reading the path of a caller connection: - The write deadline was set only before a wait for the next message. A session idle for longer than the stall limit failed at its next large answer, and a frame over 64 KiB had one deadline for all of it. Each write to a caller now has the limit anew, in pieces of 64 KiB. - The read deadline of a frame from a backend server was set once and ran while a slow caller held the relay up. It is now set at each read. - The idle limit of a transaction stayed in force after its end, so a session was closed one minute after its last transaction without a word. - A read error on a buffered message left the count of busy requests raised and gave no reason to the caller; half a message kept a shutdown waiting. - A caller that was not authenticated could send 16 MiB messages, and learned which databases exist. The limit is 4 KiB and the database is checked after the password. A body over 64 KiB grows as its bytes come. - Startup settings were applied in map order, so max_age with read_bound gave either bound. They are applied in the order of their names. - SET max_age = '0s' weakened the bound latest to session. - Close waited for half-open handshakes.

The stall limit and the limit of idle transactions are options now.

--- a/entry/accept.go
+++ b/entry/accept.go
@@ -24,7 +24,10 @@
 	codeGSS    = 80877104
 )
 
-const scramMechanism = "SCRAM-SHA-256"
+const (
+	scramMechanism = "SCRAM-SHA-256"
+	maxPassword    = 4 << 10 // bytes of a message from a caller that is not authenticated
+)
 
 // Conversation is the server side of one SCRAM exchange.
 type Conversation interface {
@@ -45,25 +48,35 @@
 	open := s.stats.CallerOpened()
 	defer s.stats.CallerClosed()
 	_ = nc.SetDeadline(time.Now().Add(s.policies.Resolve(fleet.Scope{}).HandshakeLimit))
-	c, err := s.startup(ctx, nc)
+	c, err := s.greet(ctx, nc, open)
 	if err != nil {
 		return
 	}
+	_ = nc.SetDeadline(time.Time{})
+	c.conn.LimitWrites(s.stallLimit)
+	s.add(c)
+	defer s.remove(c)
+	c.serve(s.ctx)
+}
+
+// greet takes a connection up to its first ReadyForQuery. A stopping instance
+// does not wait for callers that are still on the way there.
+func (s *Server) greet(ctx context.Context, nc net.Conn, open int64) (*session, error) {
+	stop := context.AfterFunc(s.ctx, func() { _ = nc.Close() })
+	defer stop()
+	c, err := s.startup(ctx, nc)
+	if err != nil {
+		return nil, err
+	}
 	if s.draining.Load() {
 		c.fatal(errs.New(errs.NotRun, errs.ReasonShutdown, "instance is shutting down"))
-		return
+		return nil, errDone
 	}
 	if open > int64(s.maxConns) {
 		c.fatal(errs.New(errs.NotRun, errs.ReasonTooMany, "too many caller connections"))
-		return
-	}
-	if err := s.welcome(c); err != nil {
-		return
+		return nil, errDone
 	}
-	_ = nc.SetDeadline(time.Time{})
-	s.add(c)
-	defer s.remove(c)
-	c.serve(s.ctx)
+	return c, s.welcome(c)
 }
 
 // startup reads messages until the startup message has come: TLS and cancel
@@ -105,8 +118,7 @@
 
 // newSession decodes the startup message and authenticates the caller.
 func (s *Server) newSession(nc net.Conn, body []byte, secure bool) (*session, error) {
-	max := s.policies.Resolve(fleet.Scope{}).MaxMessage
-	c := &session{srv: s, conn: wire.NewConn(nc, wire.WithMaxFrame(max)), set: defaultSettings(), status: statusIdle}
+	c := &session{srv: s, conn: wire.NewConn(nc, wire.WithMaxFrame(maxPassword)), set: defaultSettings(), status: statusIdle}
 	var msg pgproto3.StartupMessage
 	if err := msg.Decode(body); err != nil {
 		c.fatal(errs.New(errs.NotRun, errs.ReasonProtocol, "malformed startup message"))
@@ -122,7 +134,7 @@
 			return nil, err
 		}
 	}
-	if err := c.identify(msg.Parameters); err != nil {
+	if err := c.named(msg.Parameters); err != nil {
 		c.fatal(asError(err))
 		return nil, err
 	}
@@ -130,6 +142,12 @@
 		s.log.Info().Str("caller", c.caller).Str("peer", nc.RemoteAddr().String()).Msg("authentication failed")
 		return nil, err
 	}
+	// Only a caller that proved who it is learns which databases exist.
+	if err := c.identify(msg.Parameters); err != nil {
+		c.fatal(asError(err))
+		return nil, err
+	}
+	c.conn.LimitFrames(s.policies.Resolve(fleet.Scope{}).MaxMessage)
 	return c, nil
 }
 
--- a/entry/backend.go
+++ b/entry/backend.go
@@ -63,7 +63,7 @@
 func newBackendConn(m *member, h *pgconn.HijackedConn, now time.Time) *backendConn {
 	return &backendConn{
 		member:   m,
-		wc:       wire.NewConn(h.Conn),
+		wc:       wire.NewConn(h.Conn, wire.WithReadLimit(frameTimeout)),
 		pid:      h.PID,
 		secret:   h.SecretKey,
 		prepared: make(map[string]struct{}),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,6 +41,9 @@
 	seed     uint64
 	learner  *learn.Learner
 
+	stallLimit  time.Duration
+	idleTxLimit time.Duration
+
 	databases databaseTable
 	sessions  [sessionShards]sessionShard
 	nextPID   atomic.Uint32
@@ -103,6 +106,16 @@
 // WithSeed seeds the random choices.
 func WithSeed(seed uint64) Option { return func(s *Server) { s.seed = seed } }
 
+// WithStallLimit sets how long a caller may take nothing off its connection
+// while an answer waits for it.
+func WithStallLimit(d time.Duration) Option { return func(s *Server) { s.stallLimit = d } }
+
+// WithIdleTransactionLimit sets how long a transaction may wait for its next
+// statement.
+func WithIdleTransactionLimit(d time.Duration) Option {
+	return func(s *Server) { s.idleTxLimit = d }
+}
+
 // defaultMaxCallers is the limit of caller connections of one instance. At the
 // planned size an instance holds about 6,000.
 const defaultMaxCallers = 20_000
@@ -120,6 +133,9 @@
 		log:      zerolog.Nop(),
 		maxConns: defaultMaxCallers,
 		seed:     1,
+
+		stallLimit:  callerStallLimit,
+		idleTxLimit: idleTransactionLimit,
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -428,7 +428,7 @@
 			until = x.req.deadline
 		}
 		if err := x.b.wc.WaitReadable(until); err == nil {
-			return x.b.wc.SetReadDeadline(now.Add(frameTimeout))
+			return nil
 		} else if !isTimeout(err) || ctx.Err() != nil {
 			return errs.New(x.outcomeIfLost(), errs.ReasonBackendLost, "connection to the backend server broke")
 		}
@@ -462,7 +462,7 @@
 
 func (x *execution) expired() bool { return x.req.cancelSent }
 
-// frameTimeout bounds the rest of a frame after its first byte.
+// frameTimeout bounds each wait for the rest of a frame after its first byte.
 const frameTimeout = 10 * time.Second
 
 const cancelGrace = 250 * time.Millisecond // for the answer to a cancel request
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -1,16 +1,16 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"tamarackcross/errs"
 	"tamarackcross/token"
 )
 
-// identify reads who the caller is and the settings of its session from the
-// startup parameters. Settings come as parameters of their own or, for drivers
-// that cannot send those, as "-c name=value" inside the options parameter.
-func (c *session) identify(params map[string]string) error {
+// named reads who the caller is and which database it wants.
+func (c *session) named(params map[string]string) error {
 	c.caller = params["user"]
 	c.database = params["database"]
 	if c.database == "" {
@@ -19,16 +19,22 @@
 	if c.caller == "" {
 		return errs.New(errs.NotRun, errs.ReasonProtocol, "startup message names no user")
 	}
-	for name, value := range parseOptions(params["options"]) {
-		if err := c.startupSetting(name, value); err != nil {
-			return err
-		}
-	}
+	return nil
+}
+
+// identify reads the settings of the session from the startup parameters, in
+// the order of their names so that the result does not vary. Settings come as
+// parameters of their own or, for drivers that cannot send those, as
+// "-c name=value" inside the options parameter.
+func (c *session) identify(params map[string]string) error {
+	all := parseOptions(params["options"])
 	for name, value := range params {
-		if !callerParameter(name) {
-			continue
+		if callerParameter(name) {
+			all[strings.ToLower(name)] = value
 		}
-		if err := c.startupSetting(name, value); err != nil {
+	}
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if err := c.startupSetting(name, all[name]); err != nil {
 			return err
 		}
 	}
@@ -39,8 +45,8 @@
 }
 
 func (c *session) startupSetting(name, value string) error {
-	if strings.HasPrefix(strings.ToLower(name), settingPrefix) {
-		return c.changeSetting(strings.ToLower(name), value)
+	if strings.HasPrefix(name, settingPrefix) {
+		return c.changeSetting(name, value)
 	}
 	return c.vars.put(name, value)
 }
@@ -64,7 +70,7 @@
 			continue
 		}
 		if name, value, ok := strings.Cut(field, "="); ok {
-			out[name] = value
+			out[strings.ToLower(name)] = value
 		}
 	}
 	return out
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -13,10 +13,10 @@
 }
 
 const (
-	// idleTransactionLimit ends a transaction that holds a backend connection
+	// idleTransactionLimit is the default for WithIdleTransactionLimit. It ends a transaction that holds a backend connection
 	// without using it.
 	idleTransactionLimit = time.Minute
-	// callerStallLimit ends a session whose caller takes nothing off its
+	// callerStallLimit is the default for WithStallLimit. It ends a session whose caller takes nothing off its
 	// connection.
 	callerStallLimit = 30 * time.Second
 )
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -16,16 +16,9 @@
 // send buffers messages to the caller.
 func (c *session) send(msgs ...pgproto3.Message) error { return c.conn.Send(msgs...) }
 
-// flush writes what is buffered. A caller that takes nothing for too long ends
-// its session, so that it cannot hold memory or a backend connection.
-func (c *session) flush() error {
-	c.boundWrite()
-	return c.conn.Flush()
-}
-
-func (c *session) boundWrite() {
-	_ = c.conn.SetWriteDeadline(time.Now().Add(callerStallLimit))
-}
+// flush writes what is buffered. A caller that takes nothing for the stall limit
+// ends its session, so that it cannot hold memory or a backend connection.
+func (c *session) flush() error { return c.conn.Flush() }
 
 func (c *session) sendNow(msgs ...pgproto3.Message) error {
 	if err := c.send(msgs...); err != nil {
@@ -55,7 +48,7 @@
 // nothing: the connection is closed in any case.
 func (c *session) fatal(e *errs.Error) {
 	c.srv.refuse(e, c.database)
-	_ = c.conn.SetWriteDeadline(time.Now().Add(goodbyeTimeout))
+	c.conn.LimitWrites(goodbyeTimeout)
 	_ = c.sendNow(errorResponse(e, "FATAL"))
 }
 
--- a/entry/session.go
+++ b/entry/session.go
@@ -115,20 +115,10 @@
 // await waits for the next message. While it waits outside a transaction and a
 // batch the session holds no buffers and may be ended by a shutdown.
 func (c *session) await(ctx context.Context) (wire.Frame, error) {
-	if c.conn.Buffered() {
-		c.srv.busy.Add(1)
-		return c.conn.ReadFrame()
-	}
-	if err := c.flush(); err != nil {
-		return wire.Frame{}, err
-	}
-	if !c.setIdle(c.tx == nil && len(c.batch) == 0) {
-		c.fatal(errs.New(errs.NotRun, errs.ReasonShutdown, "instance is shutting down"))
-		return wire.Frame{}, errDone
-	}
-	c.conn.Idle()
-	if err := c.boundIdle(); err != nil {
-		return wire.Frame{}, err
+	if !c.conn.HasFrame() {
+		if err := c.rest(); err != nil {
+			return wire.Frame{}, err
+		}
 	}
 	f, err := c.conn.ReadFrame()
 	c.setIdle(false)
@@ -140,12 +130,30 @@
 	return f, ctx.Err()
 }
 
-// boundIdle limits the wait inside a transaction, which holds a connection.
+// rest prepares for a wait of unknown length.
+func (c *session) rest() error {
+	if err := c.flush(); err != nil {
+		return err
+	}
+	if err := c.boundIdle(); err != nil {
+		return err
+	}
+	if !c.setIdle(c.tx == nil && len(c.batch) == 0) {
+		c.fatal(errs.New(errs.NotRun, errs.ReasonShutdown, "instance is shutting down"))
+		return errDone
+	}
+	c.conn.Idle()
+	return nil
+}
+
+// boundIdle limits the wait inside a transaction, which holds a connection, and
+// lifts the limit of an earlier one. It comes before setIdle, since a shutdown
+// ends an idle session by its deadline.
 func (c *session) boundIdle() error {
 	if c.tx == nil {
-		return nil
+		return c.conn.SetReadDeadline(time.Time{})
 	}
-	return c.conn.SetReadDeadline(time.Now().Add(idleTransactionLimit))
+	return c.conn.SetReadDeadline(time.Now().Add(c.srv.idleTxLimit))
 }
 
 // readFailed tells the caller why its connection ends, where it can know.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 	"unicode"
+	"unicode/utf8"
 
 	"tamarackcross/errs"
 )
@@ -54,7 +55,7 @@
 	case settingMaxAge:
 		return s.setMaxAge(value)
 	case settingKey:
-		if len(value) > maxKeyLen || strings.ContainsFunc(value, unicode.IsControl) {
+		if len(value) > maxKeyLen || !utf8.ValidString(value) || strings.ContainsFunc(value, unicode.IsControl) {
 			return badSetting(name, "a key of at most 128 bytes without control characters")
 		}
 		s.key = value
@@ -87,8 +88,10 @@
 		return badSetting(settingMaxAge, "a duration from 0s to 24h")
 	}
 	s.maxAge = d
-	s.bound = boundAge
-	if d == 0 {
+	switch {
+	case d > 0:
+		s.bound = boundAge
+	case s.bound == boundAge:
 		s.bound = boundSession
 	}
 	return nil
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net"
@@ -22,6 +23,7 @@
 	maxStartup = 10_000   // bytes, as in PostgreSQL
 	bufferSize = 8 << 10  // bytes of a pooled buffer
 	keepBody   = 64 << 10 // bytes; a larger body buffer is not kept
+	writePiece = 64 << 10 // bytes that the peer must take within the write limit
 	headerLen  = 5        // type byte and length
 	lengthLen  = 4        // the length counts itself
 )
@@ -49,6 +51,9 @@
 	scratch []byte
 	discard int // bytes of the last frame still in r
 	max     int
+
+	readLimit  time.Duration // longest wait for the next bytes, or 0
+	writeLimit time.Duration // longest wait for the peer to take some bytes, or 0
 }
 
 // Option configures a Conn.
@@ -57,6 +62,10 @@
 // WithMaxFrame limits the body of each frame read, in bytes.
 func WithMaxFrame(n int) Option { return func(c *Conn) { c.max = n } }
 
+// WithReadLimit bounds the wait for the next bytes of a frame. WaitReadable has
+// a deadline of its own.
+func WithReadLimit(d time.Duration) Option { return func(c *Conn) { c.readLimit = d } }
+
 // NewConn returns a Conn over nc.
 func NewConn(nc net.Conn, opts ...Option) *Conn {
 	c := &Conn{nc: nc, max: DefaultMaxFrame}
@@ -88,6 +97,55 @@
 // SetWriteDeadline bounds the writes that follow.
 func (c *Conn) SetWriteDeadline(t time.Time) error { return c.nc.SetWriteDeadline(t) }
 
+// LimitWrites bounds each wait for the peer to take bytes. The limit starts
+// anew whenever some were taken, so a slow reader is not cut off.
+func (c *Conn) LimitWrites(d time.Duration) { c.writeLimit = d }
+
+// LimitFrames changes the limit of the body of each frame read, in bytes.
+func (c *Conn) LimitFrames(n int) { c.max = n }
+
+// HasFrame reports whether a whole frame that was received waits to be read.
+func (c *Conn) HasFrame() bool {
+	c.skip()
+	if c.r == nil || c.r.Buffered() < headerLen {
+		return false
+	}
+	head, err := c.r.Peek(headerLen)
+	return err == nil && uint64(c.r.Buffered()) > uint64(binary.BigEndian.Uint32(head[1:]))
+}
+
+// limited is the connection below a Conn with the limits of the Conn.
+type limited Conn
+
+// Read reads from the connection within the read limit.
+func (l *limited) Read(b []byte) (int, error) {
+	if l.readLimit > 0 {
+		if err := l.nc.SetReadDeadline(time.Now().Add(l.readLimit)); err != nil {
+			return 0, err
+		}
+	}
+	return l.nc.Read(b)
+}
+
+// Write writes in pieces, each within the write limit.
+func (l *limited) Write(b []byte) (int, error) {
+	if l.writeLimit == 0 {
+		return l.nc.Write(b)
+	}
+	done := 0
+	for done < len(b) {
+		if err := l.nc.SetWriteDeadline(time.Now().Add(l.writeLimit)); err != nil {
+			return done, err
+		}
+		n, err := l.nc.Write(b[done:min(len(b), done+writePiece)])
+		done += n
+		if err != nil {
+			return done, err
+		}
+	}
+	return done, nil
+}
+
 // Buffered reports whether bytes that were received wait to be read.
 func (c *Conn) Buffered() bool { return c.r != nil && c.r.Buffered() > c.discard }
 
@@ -136,11 +194,14 @@
 	c.skip()
 	if c.r == nil {
 		c.r = readers.Get().(*bufio.Reader)
-		c.r.Reset(c.nc)
+		c.r.Reset((*limited)(c))
 	}
 	if c.r.Buffered() > 0 {
 		return nil
 	}
+	limit := c.readLimit
+	c.readLimit = 0
+	defer func() { c.readLimit = limit }()
 	if err := c.nc.SetReadDeadline(deadline); err != nil {
 		return err
 	}
@@ -208,7 +269,7 @@
 			return 0, 0, err
 		}
 		c.r = readers.Get().(*bufio.Reader)
-		c.r.Reset(c.nc)
+		c.r.Reset((*limited)(c))
 		return c.readLength(first[0])
 	}
 	typ, err := c.r.ReadByte()
@@ -240,19 +301,29 @@
 		c.discard = n
 		return body, nil
 	}
+	if n > keepBody {
+		return c.readLarge(n)
+	}
 	if cap(c.body) < n {
 		c.body = make([]byte, n)
 	}
 	body := c.body[:n]
-	if n > keepBody {
-		c.body = nil
-	}
 	if _, err := io.ReadFull(c.r, body); err != nil {
 		return nil, noEOF(err)
 	}
 	return body, nil
 }
 
+// readLarge grows the body as its bytes come, so that a length alone does not
+// take the memory.
+func (c *Conn) readLarge(n int) ([]byte, error) {
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, c.r, int64(n)); err != nil {
+		return nil, noEOF(err)
+	}
+	return body.Bytes(), nil
+}
+
 func noEOF(err error) error {
 	if err == io.EOF {
 		return io.ErrUnexpectedEOF
@@ -263,7 +334,7 @@
 func (c *Conn) writer() *bufio.Writer {
 	if c.w == nil {
 		c.w = writers.Get().(*bufio.Writer)
-		c.w.Reset(c.nc)
+		c.w.Reset((*limited)(c))
 	}
 	return c.w
 }
