entry: answer failed transactions, Flush and DISCARD as the protocol asks

Only what wrote is settled, and a ROLLBACK tag needs no position. - A refusal inside a transaction (COPY, unknown portal, a slot not free) told the caller that the transaction had failed or was over, but the transaction stayed open at the backend server, or what followed ran outside of it. The connection is closed now, and until the caller ends the transaction it gets 25P02, as from a backend server. - A read that could not be settled inside a transaction reported the status idle while the transaction stayed open. - Flush outside a transaction left the connection without Sync and answered the next ReadyForQuery with status 0; a write before it was reported as unknown. Statements before Flush and up to Sync are one transaction on one connection of the primary, acknowledged at Sync. A Flush without Bind pins nothing. - A refused Parse left its name taken (42P05 when prepared again), and Close freed a name only after its batch. - A request that pins the connection and fails, or that pins it inside a transaction, returned the connection to the pool with its state. - DISCARD ALL failed while an idempotency key was set, and left the key and the settings in place. RESET ALL forgot the settings of the startup message.

emul: RESET ALL clears the settings. Reading emul showed that it stored a setting with the name all instead. emul has no savepoints, so they are not tested here.

--- a/emul/exec.go
+++ b/emul/exec.go
@@ -158,7 +158,11 @@
 		if s.txn != nil && s.txn.failed {
 			return false
 		}
-		s.settings[st.name] = st.value
+		if st.tag == "RESET" && st.name == "all" {
+			clear(s.settings)
+		} else {
+			s.settings[st.name] = st.value
+		}
 		s.complete(st.tag)
 	case discardStmt:
 		if s.txn != nil {
--- a/entry/accept.go
+++ b/entry/accept.go
@@ -118,7 +118,7 @@
 
 // newSession decodes the startup message and authenticates the caller.
 func (s *Server) newSession(nc net.Conn, body []byte, secure bool) (*session, error) {
-	c := &session{srv: s, conn: wire.NewConn(nc, wire.WithMaxFrame(maxPassword)), set: defaultSettings(), status: statusIdle}
+	c := &session{srv: s, conn: wire.NewConn(nc, wire.WithMaxFrame(maxPassword)), set: defaultSettings(), start: defaultSettings(), status: statusIdle}
 	var msg pgproto3.StartupMessage
 	if err := msg.Decode(body); err != nil {
 		c.fatal(errs.New(errs.NotRun, errs.ReasonProtocol, "malformed startup message"))
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -154,6 +154,7 @@
 	}
 	m.stmt = st
 	if typ == 'C' {
+		c.closeName(target, name)
 		return m, nil
 	}
 	if st == nil {
@@ -170,6 +171,16 @@
 	return m, nil
 }
 
+// closeName forgets a statement or portal. A message later in the same batch may
+// use the name again.
+func (c *session) closeName(target byte, name string) {
+	if target == 'S' {
+		delete(c.stmts, name)
+	} else {
+		delete(c.portals, name)
+	}
+}
+
 func noSuch(what, name, state string) *errs.Error {
 	return errs.New(errs.NotRun, errs.ReasonProtocol, fmt.Sprintf("%s %q does not exist", what, name), errs.WithState(state))
 }
@@ -177,12 +188,8 @@
 // failBatch reports an error found before anything was sent. What follows up to
 // Sync is dropped, as the protocol asks.
 func (c *session) failBatch(e *errs.Error) error {
-	c.skipping = true
 	c.dropBatch()
-	if c.tx != nil {
-		c.status = statusFailed
-	}
-	return c.replyError(e, false)
+	return c.refuse(e, false)
 }
 
 // dropBatch forgets the messages of the batch and what they prepared.
@@ -203,9 +210,10 @@
 	}
 }
 
-// flushBatch answers what was sent so far. The proxy needs a Sync to know where
-// a request ends, so a Flush outside a transaction is taken for one that does
-// not end the batch: it is answered as if Sync had come, without ReadyForQuery.
+// flushBatch answers what was sent so far. Statements before a Flush and those
+// up to the next Sync are one transaction, so the session keeps the connection
+// until Sync comes. A batch that binds nothing needs no such transaction: the
+// backend server gets a Sync at once.
 func (c *session) flushBatch(ctx context.Context) error {
 	if c.skipping || len(c.batch) == 0 {
 		return c.flush()
@@ -217,13 +225,24 @@
 func (c *session) sync(ctx context.Context) error {
 	if c.skipping || len(c.batch) == 0 {
 		c.skipping = false
-		return c.send(c.ready())
+		return c.endBatch(ctx)
 	}
 	err := c.runBatch(ctx, true)
 	c.skipping = false
 	return err
 }
 
+// endBatch sends ReadyForQuery. If a Flush came before, the backend server gets
+// the Sync that it waits for.
+func (c *session) endBatch(ctx context.Context) error {
+	if c.tx == nil || !c.tx.unsynced {
+		return c.send(c.ready())
+	}
+	req := c.newRequest(nil)
+	req.msgs, req.describe = []message{}, true
+	return c.run(ctx, req)
+}
+
 func (c *session) runBatch(ctx context.Context, ready bool) error {
 	batch := c.batch
 	c.batch = nil
@@ -232,37 +251,40 @@
 	}
 	var stmts []shape.Statement
 	for _, m := range batch {
-		if m.typ == 'E' {
+		if m.typ == 'E' || m.typ == 'B' && !ready {
 			stmts = append(stmts, m.stmt.stmts)
 		}
 	}
 	req := c.newRequest(stmts)
 	req.msgs, req.ready = batch, ready
+	req.open = !ready && (len(stmts) > 0 || c.tx != nil && c.tx.unsynced)
 	if len(stmts) == 0 {
 		req.describe = true
 	}
 	err := c.run(ctx, req)
-	c.closeNamed(batch)
+	c.endPortals()
 	return err
 }
 
-// closeNamed forgets statements and portals that the batch closed.
-func (c *session) closeNamed(batch []message) {
-	for _, m := range batch {
-		if m.typ != 'C' {
-			continue
-		}
-		if m.target == 'S' {
-			delete(c.stmts, m.name)
-		} else {
-			delete(c.portals, m.name)
-		}
-	}
+// endPortals forgets the portals of a transaction that ended.
+func (c *session) endPortals() {
 	if c.tx == nil {
 		clear(c.portals)
 	}
 }
 
+// forgetUnanswered forgets what the caller does not know to be prepared: it may
+// prepare it under the same name again. none reports that the caller got no part
+// of the answer.
+func (c *session) forgetUnanswered(req *request, none bool) {
+	for i := range req.msgs {
+		m := &req.msgs[i]
+		if m.typ == 'P' && (none || !m.answered) {
+			c.forget(m.stmt)
+		}
+	}
+}
+
 // ownStatement returns the statement of the batch that the proxy answers.
 func ownStatement(batch []message) *prepared {
 	for _, m := range batch {
@@ -277,20 +299,18 @@
 func (c *session) runOwnBatch(ctx context.Context, batch []message, ready bool) error {
 	for _, m := range batch {
 		if m.stmt != nil && !m.stmt.stmts.Own() {
-			c.skipping = true
 			e := errs.New(errs.NotRun, errs.ReasonUnsupported, "settings of the proxy need a batch of their own")
-			return c.replyError(e, ready)
+			return c.refuse(e, ready)
 		}
 		if err := c.ownMessage(ctx, m); err != nil {
-			c.skipping = true
-			return c.replyError(asError(err), ready)
+			return c.refuse(asError(err), ready)
 		}
 	}
-	c.closeNamed(batch)
 	if !ready {
 		return c.flush()
 	}
-	return c.send(c.ready())
+	c.endPortals()
+	return c.endBatch(ctx)
 }
 
 func (c *session) ownMessage(ctx context.Context, m message) error {
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -15,10 +15,12 @@
 	simple   string    // text of a simple query, or
 	msgs     []message // messages of a batch
 	ready    bool      // a batch ends with ReadyForQuery
+	open     bool      // a batch that ends with Flush and has a portal
 	describe bool      // nothing of the batch executes
 
 	stmts       []shape.Statement
 	write       bool
+	wrote       bool // this request or its transaction writes
 	begins      bool // opens a transaction that outlives the request
 	readOnly    bool // of the transaction that it opens
 	ends        bool // holds COMMIT or ROLLBACK
@@ -69,8 +71,11 @@
 		r.begins = st.Chain()
 	case shape.Read, shape.Show, shape.Set, shape.Empty:
 	default:
-		r.write = true
+		// DISCARD ALL changes no data and must not run inside the transaction of
+		// an idempotency key.
+		r.write = r.write || !discards(st)
 	}
+	r.wrote = r.wrote || r.write
 }
 
 // check refuses what the proxy does not carry.
@@ -86,7 +91,7 @@
 // onPrimary reports whether only the primary may serve the request outside a
 // transaction.
 func (r *request) onPrimary() bool {
-	return r.write || r.begins && !r.readOnly
+	return r.write || r.open || r.begins && !r.readOnly
 }
 
 // acknowledges reports whether the answer to the request tells the caller that
@@ -95,5 +100,5 @@
 	if tx != nil {
 		return r.commits
 	}
-	return r.write || r.commits
+	return r.write && !r.open || r.commits
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -12,11 +11,8 @@
 	"tamarackcross/emul"
 	"tamarackcross/entry"
 	"tamarackcross/group"
-	"tamarackcross/token"
 )
 
-var tokenKey = []byte("0123456789abcdef0123456789abcdef")
-
 // site is one group with two entries in front of it.
 type site struct {
 	group   *emul.Group
@@ -25,7 +21,7 @@
 	addrs   []string
 }
 
-func startSite(t *testing.T, opts ...emul.Option) *site {
+func startSite(t testing.TB, opts ...emul.Option) *site {
 	t.Helper()
 	ctx := context.Background()
 	g, err := emul.StartGroup(ctx, "app", []string{"a", "b", "c"}, opts...)
@@ -35,25 +31,12 @@
 	s := &site{group: g, dir: entry.NewStaticDirectory(directoryOf(t, g))}
 	t.Cleanup(func() { g.Close() })
 	for _, zone := range []string{"a", "b"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		e := entry.New(s.dir, token.New(tokenKey), entry.WithName("entry-"+zone), entry.WithZone(zone))
-		done := make(chan error, 1)
-		go func() { done <- e.Serve(ctx, l) }()
-		t.Cleanup(func() {
-			_ = l.Close()
-			e.Close()
-			<-done
-		})
-		s.entries = append(s.entries, e)
-		s.addrs = append(s.addrs, l.Addr().String())
+		s.addEntry(t, entry.WithName("entry-"+zone), entry.WithZone(zone))
 	}
 	return s
 }
 
-func directoryOf(t *testing.T, g *emul.Group) entry.Group {
+func directoryOf(t testing.TB, g *emul.Group) entry.Group {
 	t.Helper()
 	h, err := group.NewHistory(group.Start{Term: 1})
 	if err != nil {
@@ -71,7 +54,7 @@
 	return out
 }
 
-func (s *site) connect(t *testing.T, i int, params string) *pgx.Conn {
+func (s *site) connect(t testing.TB, i int, params string) *pgx.Conn {
 	t.Helper()
 	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
 	defer stop()
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -62,6 +62,7 @@
 	onlyBefore bool     // nothing follows them
 	keyed      keyState
 	broken     bool // a frame to the caller was cut in the middle
+	syncs      bool // the backend server gets Sync whatever the caller sent
 }
 
 // errBelowBound reports a snapshot older than the bound of a read.
@@ -138,7 +139,7 @@
 			return err
 		}
 	}
-	if !x.req.ready {
+	if x.req.open && !x.syncs {
 		return x.b.wc.Send(&pgproto3.Flush{})
 	}
 	x.queue = append(x.queue, expect{kind: expectReady})
@@ -146,6 +147,7 @@
 }
 
 func (x *execution) sendMessage(m *message) error {
+	m.answered = false
 	switch m.typ {
 	case 'P':
 		if x.b.knows(m.stmt) {
@@ -185,6 +187,7 @@
 	head := x.queue[0]
 	if head.kind == expectMade {
 		x.queue = x.queue[1:]
+		head.msg.answered = true
 		return x.emit(madeAnswer(head.msg))
 	}
 	if !x.b.wc.Buffered() {
@@ -247,6 +250,7 @@
 		}
 	}
 	if head.kind == expectMessage && answers(head.msg, f.Type) {
+		head.msg.answered = true
 		x.queue = x.queue[1:]
 	}
 	return x.emit(f)
@@ -355,7 +359,6 @@
 		}
 		if head.kind == expectMessage && head.msg.typ == 'P' {
 			x.b.unlearn(head.msg.stmt)
-			x.c.forget(head.msg.stmt)
 		}
 		x.queue = x.queue[1:]
 	}
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -38,6 +38,8 @@
 			return err
 		}
 	}
+	c.start = c.set
+	c.vars.keepAsStart()
 	if _, ok := c.srv.dir.Group(c.database); !ok {
 		return errs.New(errs.NotRun, errs.ReasonUnknownDB, "database \""+c.database+"\" is not known")
 	}
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -138,6 +138,7 @@
 	}
 	x := c.newExecution(b, req)
 	x.holding, x.checked = true, true
+	x.syncs = true // statements of the proxy follow
 	x.before = []string{"BEGIN", insertKey(key, record(req.digest(), ""))}
 	err = c.execute(ctx, x)
 	if err == nil {
@@ -344,7 +345,7 @@
 func (c *session) commitKeyed(ctx context.Context, req *request) error {
 	tx := c.tx
 	x := c.newExecution(tx.conn, req)
-	x.holding, x.checked = true, true
+	x.holding, x.checked, x.syncs = true, true, true
 	x.before = []string{insertKey(c.set.key, record(req.digest(), "COMMIT"))}
 	err := c.execute(ctx, x)
 	if err != nil {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -44,6 +44,27 @@
 	return c.send(c.ready())
 }
 
+// refuse answers a request that was not run with an error. A transaction fails
+// with it, as the protocol asks: its connection is closed, so nothing of it can
+// be committed, and the caller must end it before anything else runs.
+func (c *session) refuse(e *errs.Error, ready bool) error {
+	if c.tx != nil {
+		c.lost = !c.tx.implicit
+		c.dropTx()
+	}
+	c.status = c.outside()
+	c.skipping = !ready
+	return c.replyError(e, ready)
+}
+
+// outside is the transaction status when no connection is held.
+func (c *session) outside() byte {
+	if c.lost {
+		return statusFailed
+	}
+	return statusIdle
+}
+
 // fatal tells the caller why its connection ends. Errors while doing so change
 // nothing: the connection is closed in any case.
 func (c *session) fatal(e *errs.Error) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"tamarackcross/admit"
@@ -12,9 +13,12 @@
 // run takes a request through admit, route, borrow, execute, settle and reply.
 // The error ends the session; everything else is answered to the caller.
 func (c *session) run(ctx context.Context, req *request) error {
+	if c.lost {
+		return c.runLost(req)
+	}
 	if err := req.check(); err != nil {
-		c.skipping = !req.ready
-		return c.replyError(asError(err), req.ready)
+		c.forgetUnanswered(req, true)
+		return c.refuse(asError(err), req.ready)
 	}
 	dctx, stop := context.WithDeadline(ctx, req.deadline)
 	defer stop()
@@ -113,12 +117,16 @@
 	switch {
 	case err != nil:
 		x.b.tainted = true
-	case x.req.pins && x.failure == nil:
-		x.b.tainted = true // its state is that of this session from here on
+	case x.req.pins:
+		// Its state is that of this session from here on. A part of a request
+		// that failed may have left state too, such as an advisory lock.
+		x.b.tainted = true
 	}
 	if err == nil && x.status != statusIdle {
-		c.tx = &openTx{conn: x.b, started: x.req.arrived, vars: c.vars}
-		c.tx.wrote = x.req.write
+		open := x.req.open && x.status == 0
+		c.tx = &openTx{conn: x.b, started: x.req.arrived, vars: c.vars, unsynced: open, implicit: open}
+		c.tx.wrote, c.tx.pins, c.tx.failed = x.req.write, x.req.pins, x.failure != nil
+		c.trackVars(x.req, x)
 		return
 	}
 	x.b.member.put(x.b)
@@ -126,26 +134,37 @@
 
 // runInTx runs a request on the connection of the open transaction.
 func (c *session) runInTx(ctx context.Context, req *request) error {
-	if req.commits && c.set.key != "" && c.tx.wrote {
+	tx := c.tx
+	req.wrote = tx.wrote || req.write
+	if tx.implicit && (tx.wrote || req.write) {
+		if c.set.key != "" {
+			return c.abortTx(req, nil, errs.New(errs.NotRun, errs.ReasonUnsupported, "an idempotency key cannot be used with Flush"))
+		}
+		req.commits = req.commits || req.ready && !tx.failed
+	}
+	if req.commits && c.set.key != "" && tx.wrote {
 		return c.commitKeyed(ctx, req)
 	}
-	tx := c.tx
 	m := tx.conn.member
 	r := c.admission(req)
 	r.Arrived = tx.started
 	ticket, err := m.gate.enter(ctx, r)
 	if err != nil {
-		return c.abortTx(req, asError(err))
+		return c.abortTx(req, nil, asError(err))
 	}
 	start := time.Now()
 	x := c.newExecution(tx.conn, req)
 	x.checked = true
+	x.holding = tx.implicit && req.commits
 	err = c.execute(ctx, x)
 	m.gate.leave(ticket, time.Since(start))
 	if err != nil {
-		return c.abortTx(req, c.resolveLost(ctx, req, x, asError(err)))
+		return c.abortTx(req, x, c.resolveLost(ctx, req, x, asError(err)))
 	}
-	tx.wrote = tx.wrote || req.write
+	tx.wrote, tx.pins = tx.wrote || req.write, tx.pins || req.pins
+	tx.failed = tx.failed || x.failure != nil
+	tx.unsynced = req.open
+	tx.implicit = tx.implicit && req.open
 	c.trackVars(req, x)
 	if x.status == statusIdle {
 		c.endTx(x)
@@ -157,10 +176,10 @@
 func (c *session) endTx(x *execution) {
 	tx := c.tx
 	c.tx = nil
-	if x.req.commits && x.failure == nil && x.tag != "ROLLBACK" {
+	if x.req.commits && x.failure == nil && x.tag != rollbackTag {
 		c.vars = tx.vars
 	}
-	if x.req.pins {
+	if tx.pins || x.req.pins {
 		tx.conn.tainted = true
 	}
 	tx.conn.vars = c.vars.applied
@@ -169,19 +188,41 @@
 
 // abortTx ends the transaction after its connection was lost or refused: the
 // connection is closed, so the backend server rolls back what was not
-// committed.
-func (c *session) abortTx(req *request, e *errs.Error) error {
-	tx := c.tx
-	c.tx = nil
-	tx.conn.tainted = true
-	tx.conn.member.put(tx.conn)
+// committed. Unless the request was to end the transaction, the caller must end
+// it before anything else runs.
+func (c *session) abortTx(req *request, x *execution, e *errs.Error) error {
+	if x != nil && x.broken {
+		return errDone
+	}
+	c.forgetUnanswered(req, x == nil || !x.released)
+	if req.ends {
+		c.dropTx()
+	}
+	return c.refuse(e, req.ready)
+}
+
+// runLost answers a request in a transaction that failed and whose connection is
+// gone, as a backend server does in a failed transaction.
+func (c *session) runLost(req *request) error {
+	if !req.ends || req.begins || len(req.stmts) != 1 {
+		c.forgetUnanswered(req, true)
+		e := errs.New(errs.NotRun, errs.ReasonBackendLost, "the transaction failed; nothing runs until it is ended",
+			errs.WithState(stateFailedTx))
+		return c.refuse(e, req.ready)
+	}
+	c.lost = false
 	c.status = statusIdle
+	if err := c.answerTag(req, rollbackTag); err != nil {
+		return err
+	}
 	if !req.ready {
-		c.skipping = true
+		return c.flush()
 	}
-	return c.replyError(e, req.ready)
+	return c.send(c.ready())
 }
 
+const stateFailedTx = "25P02" // SQLSTATE in_failed_sql_transaction
+
 // trackVars follows SET statements of backend settings inside a transaction;
 // they last only if it commits.
 func (c *session) trackVars(req *request, x *execution) {
@@ -196,6 +237,10 @@
 // applySet records a SET of a backend setting. A setting that cannot be carried
 // to other connections is left alone: the classifier pins it.
 func applySet(v *sessionVars, st shape.Statement) {
+	if discards(st) {
+		v.drop(allSettings)
+		return
+	}
 	if st.Kind() != shape.Set || st.Local() || st.Own() {
 		return
 	}
@@ -206,15 +251,36 @@
 	_ = v.put(st.Name(), st.Value())
 }
 
+// discards reports whether a statement is DISCARD ALL.
+func discards(st shape.Statement) bool {
+	return st.Kind() == shape.Other && strings.EqualFold(strings.Join(strings.Fields(st.Text()), " "), "discard all")
+}
+
+// applyReset carries out the part of RESET ALL and DISCARD ALL that concerns the
+// entry. Pools of connections send them before another user gets the session,
+// which must not inherit an idempotency key or a deadline. The vector stays.
+func (c *session) applyReset(st shape.Statement) {
+	if discards(st) {
+		clear(c.stmts)
+	}
+	if discards(st) || st.Kind() == shape.Set && st.Reset() && st.Name() == allSettings {
+		c.set = c.start
+	}
+}
+
 // conclude settles an answer that came whole and passes on what was held back.
 func (c *session) conclude(ctx context.Context, req *request, x *execution) error {
-	c.status = x.status
+	if x.status != 0 {
+		c.status = x.status
+	}
 	if x.failure != nil {
+		c.forgetUnanswered(req, false)
 		return c.finish(req, x)
 	}
 	if c.tx == nil {
 		for _, st := range req.stmts {
 			applySet(&c.vars, st)
+			c.applyReset(st)
 		}
 	}
 	if x.holding || req.isLatest() {
@@ -265,11 +331,11 @@
 	if x != nil && x.broken {
 		return errDone
 	}
-	c.status = statusIdle
-	if !req.ready {
-		c.skipping = true
+	if c.tx != nil {
+		return c.abortTx(req, x, e)
 	}
-	return c.replyError(e, req.ready)
+	c.forgetUnanswered(req, x == nil || !x.released)
+	return c.refuse(e, req.ready)
 }
 
 // mayRetry decides whether another attempt is safe and worth it: nothing may
--- a/entry/session.go
+++ b/entry/session.go
@@ -35,6 +35,7 @@
 	secret   [4]byte
 
 	set      settings
+	start    settings // set by the startup message; RESET returns to them
 	vars     sessionVars
 	vector   token.Vector
 	reported string // token that the caller knows
@@ -44,6 +45,7 @@
 	skipping bool      // an error occurred; messages are dropped until Sync
 	status   byte
 	tx       *openTx
+	lost     bool // the transaction of the caller failed and its connection is gone
 
 	mu      sync.Mutex
 	running *backendConn // the connection on which a request executes
@@ -55,7 +57,12 @@
 	conn    *backendConn
 	started time.Time
 	wrote   bool
+	pins    bool        // a statement left state on the connection
 	vars    sessionVars // settings if the transaction commits
+
+	failed   bool // a statement failed
+	unsynced bool // a Flush came; the backend server waits for Sync
+	implicit bool // opened by a Flush, ends at Sync
 }
 
 // prepared is a statement that a session prepared.
@@ -72,6 +79,8 @@
 	stmt   *prepared // statement that the message is about, if any
 	target byte      // 'S' or 'P' of Describe and Close
 	name   string    // statement or portal name of Describe and Close
+
+	answered bool // the last frame of its answer came
 }
 
 // serve reads requests until the caller leaves or the instance stops.
@@ -192,14 +201,20 @@
 // release ends an open transaction by closing its connection; the backend
 // server rolls it back.
 func (c *session) release() {
-	if c.tx != nil {
-		c.tx.conn.tainted = true
-		c.tx.conn.member.put(c.tx.conn)
-		c.tx = nil
-	}
+	c.dropTx()
 	_ = c.conn.Close()
 }
 
+// dropTx closes the connection of the open transaction, if there is one.
+func (c *session) dropTx() {
+	if c.tx == nil {
+		return
+	}
+	c.tx.conn.tainted = true
+	c.tx.conn.member.put(c.tx.conn)
+	c.tx = nil
+}
+
 func (c *session) setRunning(b *backendConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -228,20 +243,22 @@
 	rest := stmts
 	for len(rest) > 0 && c.local(rest[0]) {
 		if err := c.runLocal(ctx, rest[0], true); err != nil {
-			return c.replyError(asError(err), true)
+			return c.refuse(asError(err), true)
 		}
 		rest = rest[1:]
 	}
 	if len(stmts) == 0 {
-		return c.send(&pgproto3.EmptyQueryResponse{}, c.ready())
+		if err := c.send(&pgproto3.EmptyQueryResponse{}); err != nil {
+			return err
+		}
 	}
 	if len(rest) == 0 {
-		return c.send(c.ready())
+		return c.endBatch(ctx)
 	}
 	for _, st := range rest {
 		if c.local(st) {
 			e := errs.New(errs.NotRun, errs.ReasonUnsupported, "settings of the proxy must come first in a query string")
-			return c.replyError(e, true)
+			return c.refuse(e, true)
 		}
 	}
 	if len(rest) < len(stmts) {
@@ -299,8 +316,7 @@
 	if name == settingToken {
 		return errs.New(errs.NotRun, errs.ReasonBadSetting, "the session token cannot be reset")
 	}
-	fresh := defaultSettings()
-	value, ok := fresh.get(name)
+	value, ok := c.start.get(name)
 	if !ok {
 		return errs.New(errs.NotRun, errs.ReasonBadSetting, "unknown setting "+name)
 	}
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -7,6 +7,10 @@
 	"tamarackcross/group"
 )
 
+// rollbackTag is the answer to COMMIT of a failed transaction: nothing was
+// committed, so there is no position to settle.
+const rollbackTag = "ROLLBACK"
+
 // settle decides whether an answer may go to the caller. A commit is
 // acknowledged once a majority of the group holds its position; a read at the
 // primary once its snapshot does, since data that a promotion could still
@@ -16,7 +20,7 @@
 		return c.confirmLatest(ctx, x)
 	}
 	if !x.located {
-		if !req.acknowledges(nil) {
+		if !req.acknowledges(nil) || !req.wrote || x.tag == rollbackTag {
 			return nil
 		}
 		return c.unknown(errs.ReasonProtocol, "backend server reported no position for the commit")
--- a/entry/vars.go
+++ b/entry/vars.go
@@ -20,6 +20,7 @@
 // not tie the session to one connection. The zero value is empty.
 type sessionVars struct {
 	values  map[string]string // name -> quoted value
+	start   map[string]string // those of the startup message, to which RESET returns
 	applied string            // statement that sets them all, "" when there are none
 }
 
@@ -46,13 +47,23 @@
 	return nil
 }
 
-// drop forgets a setting, or all of them for the name "all".
+// allSettings is the name that RESET ALL gives.
+const allSettings = "all"
+
+// keepAsStart makes the present values those to which RESET returns.
+func (v *sessionVars) keepAsStart() { v.start = v.values }
+
+// drop resets a setting, or all of them for the name "all".
 func (v *sessionVars) drop(name string) {
-	if name == "all" {
-		v.values = nil
+	name = strings.ToLower(name)
+	if name == allSettings {
+		v.values = v.start
 	} else {
 		next := maps.Clone(v.values)
-		delete(next, strings.ToLower(name))
+		delete(next, name)
+		if value, ok := v.start[name]; ok {
+			next[name] = value
+		}
 		v.values = next
 	}
 	v.applied = v.statement()
