--- a/entry/execute.go
+++ b/entry/execute.go
@@ -68,6 +68,7 @@
 	// primaryAtStart is whether the member was the primary when the request began.
 	primaryAtStart bool
 	broken         bool // a frame to the caller was cut in the middle
+	syncs          bool // the backend server gets Sync whatever the caller sent
 }
 
 // errBelowBound reports a snapshot older than the bound of a read.
@@ -146,7 +147,7 @@
 			return err
 		}
 	}
-	if !x.req.ready {
+	if x.req.open && !x.syncs {
 		return x.b.wc.Send(&pgproto3.Flush{})
 	}
 	x.queue = append(x.queue, expect{kind: expectReady})
@@ -154,6 +155,7 @@
 }
 
 func (x *execution) sendMessage(m *message) error {
+	m.answered = false
 	switch m.typ {
 	case 'P':
 		if x.b.knows(m.stmt) {
@@ -193,6 +195,7 @@
 	head := x.queue[0]
 	if head.kind == expectMade {
 		x.queue = x.queue[1:]
+		head.msg.answered = true
 		return x.emit(madeAnswer(head.msg))
 	}
 	if !x.b.wc.Buffered() {
@@ -255,6 +258,7 @@
 		}
 	}
 	if head.kind == expectMessage && answers(head.msg, f.Type) {
+		head.msg.answered = true
 		x.queue = x.queue[1:]
 	}
 	return x.emit(f)
@@ -363,7 +367,6 @@
 		}
 		if head.kind == expectMessage && head.msg.typ == 'P' {
 			x.b.unlearn(head.msg.stmt)
-			x.c.forget(head.msg.stmt)
 		}
 		x.queue = x.queue[1:]
 	}
@@ -436,7 +439,7 @@
 		now := time.Now()
 		err := x.b.wc.WaitReadable(earlier(now.Add(waitSlice), x.req.deadline))
 		if err == nil {
-			return x.b.wc.SetReadDeadline(now.Add(frameTimeout))
+			return nil
 		}
 		if !isTimeout(err) || ctx.Err() != nil {
 			return errs.New(x.outcomeIfLost(), errs.ReasonBackendLost, "connection to the backend server broke")
@@ -509,7 +512,7 @@
 
 func (x *execution) expired() bool { return x.req.cancelSent }
 
-// frameTimeout bounds the rest of a frame after its first byte.
+// frameTimeout bounds each wait for the rest of a frame after its first byte.
 const frameTimeout = 10 * time.Second
 
 const cancelGrace = 250 * time.Millisecond // for the answer to a cancel request
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -16,16 +16,9 @@
 // send buffers messages to the caller.
 func (c *session) send(msgs ...pgproto3.Message) error { return c.conn.Send(msgs...) }
 
-// flush writes what is buffered. A caller that takes nothing for too long ends
-// its session, so that it cannot hold memory or a backend connection.
-func (c *session) flush() error {
-	c.boundWrite()
-	return c.conn.Flush()
-}
-
-func (c *session) boundWrite() {
-	_ = c.conn.SetWriteDeadline(time.Now().Add(callerStallLimit))
-}
+// flush writes what is buffered. A caller that takes nothing for the stall limit
+// ends its session, so that it cannot hold memory or a backend connection.
+func (c *session) flush() error { return c.conn.Flush() }
 
 func (c *session) sendNow(msgs ...pgproto3.Message) error {
 	if err := c.send(msgs...); err != nil {
@@ -51,11 +44,32 @@
 	return c.send(c.ready())
 }
 
+// refuse answers a request that was not run with an error. A transaction fails
+// with it, as the protocol asks: its connection is closed, so nothing of it can
+// be committed, and the caller must end it before anything else runs.
+func (c *session) refuse(e *errs.Error, ready bool) error {
+	if c.tx != nil {
+		c.lost = !c.tx.implicit
+		c.dropTx()
+	}
+	c.status = c.outside()
+	c.skipping = !ready
+	return c.replyError(e, ready)
+}
+
+// outside is the transaction status when no connection is held.
+func (c *session) outside() byte {
+	if c.lost {
+		return statusFailed
+	}
+	return statusIdle
+}
+
 // fatal tells the caller why its connection ends. Errors while doing so change
 // nothing: the connection is closed in any case.
 func (c *session) fatal(e *errs.Error) {
 	c.srv.refuse(e, c.database)
-	_ = c.conn.SetWriteDeadline(time.Now().Add(goodbyeTimeout))
+	c.conn.LimitWrites(goodbyeTimeout)
 	_ = c.sendNow(errorResponse(e, "FATAL"))
 }
 
--- a/entry/session.go
+++ b/entry/session.go
@@ -35,6 +35,7 @@
 	secret   [4]byte
 
 	set      settings
+	start    settings // set by the startup message; RESET returns to them
 	vars     sessionVars
 	vector   token.Vector
 	reported string // token that the caller knows
@@ -44,6 +45,7 @@
 	skipping bool      // an error occurred; messages are dropped until Sync
 	status   byte
 	tx       *openTx
+	lost     bool // the transaction of the caller failed and its connection is gone
 
 	mu      sync.Mutex
 	running *backendConn // the connection on which a request executes
@@ -55,7 +57,12 @@
 	conn    *backendConn
 	started time.Time
 	wrote   bool
+	pins    bool        // a statement left state on the connection
 	vars    sessionVars // settings if the transaction commits
+
+	failed   bool // a statement failed
+	unsynced bool // a Flush came; the backend server waits for Sync
+	implicit bool // opened by a Flush, ends at Sync
 }
 
 // prepared is a statement that a session prepared.
@@ -72,6 +79,8 @@
 	stmt   *prepared // statement that the message is about, if any
 	target byte      // 'S' or 'P' of Describe and Close
 	name   string    // statement or portal name of Describe and Close
+
+	answered bool // the last frame of its answer came
 }
 
 // serve reads requests until the caller leaves or the instance stops.
@@ -115,20 +124,10 @@
 // await waits for the next message. While it waits outside a transaction and a
 // batch the session holds no buffers and may be ended by a shutdown.
 func (c *session) await(ctx context.Context) (wire.Frame, error) {
-	if c.conn.Buffered() {
-		c.srv.busy.Add(1)
-		return c.conn.ReadFrame()
-	}
-	if err := c.flush(); err != nil {
-		return wire.Frame{}, err
-	}
-	if !c.setIdle(c.tx == nil && len(c.batch) == 0) {
-		c.fatal(errs.New(errs.NotRun, errs.ReasonShutdown, "instance is shutting down"))
-		return wire.Frame{}, errDone
-	}
-	c.conn.Idle()
-	if err := c.boundIdle(); err != nil {
-		return wire.Frame{}, err
+	if !c.conn.HasFrame() {
+		if err := c.rest(); err != nil {
+			return wire.Frame{}, err
+		}
 	}
 	f, err := c.conn.ReadFrame()
 	c.setIdle(false)
@@ -140,12 +139,30 @@
 	return f, ctx.Err()
 }
 
-// boundIdle limits the wait inside a transaction, which holds a connection.
+// rest prepares for a wait of unknown length.
+func (c *session) rest() error {
+	if err := c.flush(); err != nil {
+		return err
+	}
+	if err := c.boundIdle(); err != nil {
+		return err
+	}
+	if !c.setIdle(c.tx == nil && len(c.batch) == 0) {
+		c.fatal(errs.New(errs.NotRun, errs.ReasonShutdown, "instance is shutting down"))
+		return errDone
+	}
+	c.conn.Idle()
+	return nil
+}
+
+// boundIdle limits the wait inside a transaction, which holds a connection, and
+// lifts the limit of an earlier one. It comes before setIdle, since a shutdown
+// ends an idle session by its deadline.
 func (c *session) boundIdle() error {
 	if c.tx == nil {
-		return nil
+		return c.conn.SetReadDeadline(time.Time{})
 	}
-	return c.conn.SetReadDeadline(time.Now().Add(idleTransactionLimit))
+	return c.conn.SetReadDeadline(time.Now().Add(c.srv.idleTxLimit))
 }
 
 // readFailed tells the caller why its connection ends, where it can know.
@@ -184,14 +201,20 @@
 // release ends an open transaction by closing its connection; the backend
 // server rolls it back.
 func (c *session) release() {
-	if c.tx != nil {
-		c.tx.conn.tainted = true
-		c.tx.conn.member.put(c.tx.conn)
-		c.tx = nil
-	}
+	c.dropTx()
 	_ = c.conn.Close()
 }
 
+// dropTx closes the connection of the open transaction, if there is one.
+func (c *session) dropTx() {
+	if c.tx == nil {
+		return
+	}
+	c.tx.conn.tainted = true
+	c.tx.conn.member.put(c.tx.conn)
+	c.tx = nil
+}
+
 func (c *session) setRunning(b *backendConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -220,20 +243,22 @@
 	rest := stmts
 	for len(rest) > 0 && c.local(rest[0]) {
 		if err := c.runLocal(ctx, rest[0], true); err != nil {
-			return c.replyError(asError(err), true)
+			return c.refuse(asError(err), true)
 		}
 		rest = rest[1:]
 	}
 	if len(stmts) == 0 {
-		return c.send(&pgproto3.EmptyQueryResponse{}, c.ready())
+		if err := c.send(&pgproto3.EmptyQueryResponse{}); err != nil {
+			return err
+		}
 	}
 	if len(rest) == 0 {
-		return c.send(c.ready())
+		return c.endBatch(ctx)
 	}
 	for _, st := range rest {
 		if c.local(st) {
 			e := errs.New(errs.NotRun, errs.ReasonUnsupported, "settings of the proxy must come first in a query string")
-			return c.replyError(e, true)
+			return c.refuse(e, true)
 		}
 	}
 	if len(rest) < len(stmts) {
@@ -291,8 +316,7 @@
 	if name == settingToken {
 		return errs.New(errs.NotRun, errs.ReasonBadSetting, "the session token cannot be reset")
 	}
-	fresh := defaultSettings()
-	value, ok := fresh.get(name)
+	value, ok := c.start.get(name)
 	if !ok {
 		return errs.New(errs.NotRun, errs.ReasonBadSetting, "unknown setting "+name)
 	}
