Spread: announce long deltas instead of pushing them

A configuration document of 9,798 bytes was received four times by every instance. Deltas over 4 KiB are now announced with a Summary; each peer pulls once and announces in turn. Sending long deltas to fewer peers was ruled out, because it leaves more instances to the exchange and so raises the time to reach all.

--- a/spread/peers.go
+++ b/spread/peers.go
@@ -80,10 +80,6 @@
 	return out
 }
 
-func (c *Core) fanoutPeers(without string, now time.Time) []string {
-	return c.choose(c.fanout, without, now)
-}
-
 // randomPeer returns one peer, or "" when there is none.
 func (c *Core) randomPeer(now time.Time) string {
 	c.refreshPeers(now)
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -69,16 +69,20 @@
 	}
 }
 
-// onBatch applies consecutive deltas. They are not passed on: the peers had
-// them pushed already.
+// onBatch applies consecutive deltas. Only the last one is passed on, if it is
+// long: the peers had the others pushed already.
 func (c *Core) onBatch(m Batch, now time.Time) {
 	if c.pull != nil && c.pull.peer == m.From {
 		c.endPull()
 	}
+	fresh := false
 	for _, d := range m.Deltas {
-		c.hold(d)
+		fresh = c.hold(d)
 		c.drain(now)
 	}
+	if n := len(m.Deltas); fresh && sizeOf(m.Deltas[n-1].Changes) > maxPush {
+		c.forward(m.Deltas[n-1], m.From, now)
+	}
 }
 
 // answered returns the pull that a message of the peer belongs to. An answer
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -4,7 +4,8 @@
 // The state is a function of its stamp, (term, index) in the control log, and an
 // instance only moves forward. Three ways lead forward:
 //
-//   - Deltas are pushed. Each instance passes a delta on once, to a few peers.
+//   - Deltas are pushed. Each instance passes a delta on once, to a few peers. A
+//     long delta is announced to them instead, and they pull it.
 //   - Once per interval an instance exchanges a Summary with one random peer. The
 //     older side pulls: recent deltas, or else the sections whose digests differ.
 //   - An instance that starts asks several peers, takes a whole copy from the one
@@ -41,6 +42,7 @@
 	// it serves with what it has.
 	LoneRounds = 3
 
+	maxPush    = 4 << 10   // bytes of section data in a delta that is pushed unasked
 	maxPending = 256       // deltas that wait for an earlier one
 	maxRecent  = 256       // deltas kept for peers that missed a few
 	maxBatch   = 256 << 10 // bytes of section data in the deltas kept
@@ -223,15 +225,26 @@
 	if !c.hold(d) {
 		return
 	}
-	for _, peer := range c.fanoutPeers(from, now) {
-		c.send(peer, Push{Head: c.head(), Delta: d})
-	}
 	c.drain(now)
+	c.forward(d, from, now)
 	if len(c.pending) > 0 && c.gap.until.IsZero() {
 		c.gap = gap{until: now.Add(GapWait), peer: from}
 	}
 }
 
+// forward passes a new delta on to a few peers. A long one is announced only:
+// each peer pulls it once instead of receiving it from several.
+func (c *Core) forward(d state.Delta, from string, now time.Time) {
+	long := sizeOf(d.Changes) > maxPush
+	for _, peer := range c.choose(c.fanout, from, now) {
+		if long {
+			c.send(peer, c.summary(Answer))
+			continue
+		}
+		c.send(peer, Push{Head: c.head(), Delta: d})
+	}
+}
+
 // hold keeps a delta until it can be applied. It reports whether it is new.
 func (c *Core) hold(d state.Delta) bool {
 	if !c.stamp().Less(d.Stamp) || !d.Prev.Less(d.Stamp) {
--- a/state/random_test.go
+++ b/state/random_test.go
@@ -201,11 +201,13 @@
 		kept, restored := state.New(), state.New()
 		for i, c := range commands.Draw(t, "history") {
 			at := state.Stamp{Term: 1, Index: uint64(i + 1)}
-			next := state.New()
-			if err := next.Restore(restored.Snapshot()); err != nil {
-				t.Fatal(err)
+			if i%4 == 0 {
+				next := state.New()
+				if err := next.Restore(restored.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+				restored = next
 			}
-			restored = next
 			want, got := kept.Apply(at, c), restored.Apply(at, c)
 			if fmt.Sprint(want) != fmt.Sprint(got) {
 				t.Fatalf("%+v: %v, after a restore %v", c, want, got)
