Report states that cannot be installed, and test unreadable documents

A delta or copy that this release cannot read, or that lacks its stated digest, was dropped without a word, so an instance could stay behind unnoticed. The core now returns a Rejected action; the view stays as it was and another attempt follows.

--- a/spread/message.go
+++ b/spread/message.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"github.com/rotisserie/eris"
+
 	"tamarackcross/state"
 )
 
@@ -93,8 +95,11 @@
 	Changes []state.Change
 }
 
-// Action is what the adapter does for the core. It is one of Send, Apply, Ready
-// and Diverged.
+// ErrDigest is the error of a Rejected state whose digest is not the one stated.
+var ErrDigest = eris.New("the state received does not have the digest stated")
+
+// Action is what the adapter does for the core. It is one of Send, Apply, Ready,
+// Diverged and Rejected.
 type Action interface{ action() }
 
 // Send sends a message to the named instance. Losing it is safe.
@@ -123,6 +128,15 @@
 	Mine, Theirs uint64
 }
 
+// Rejected reports a state that was received and not installed: a section cannot
+// be read by this release, or the content does not have the digest stated. The
+// view stays as it was, and another attempt follows.
+type Rejected struct {
+	Stamp state.Stamp
+	Err   error
+}
+
+func (Rejected) action() {}
 func (Send) action()     {}
 func (Apply) action()    {}
 func (Ready) action()    {}
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -174,11 +174,11 @@
 		build = p.base.Replace
 	}
 	v, err := build(p.target, changes)
-	if err != nil || v.Digest() != p.digest {
-		c.whole = true
-		if c.join != nil {
-			c.join.drop(p.peer, now)
-		}
+	if err == nil && v.Digest() != p.digest {
+		err = ErrDigest
+	}
+	if err != nil {
+		c.reject(p, err, now)
 		return
 	}
 	c.whole = false
@@ -186,3 +186,12 @@
 	c.install(v, keysOf(changes), whole || p.base != c.View())
 	c.drain(now)
 }
+
+// reject leaves the view as it is after an answer that cannot be installed.
+func (c *Core) reject(p *pull, err error, now time.Time) {
+	c.whole = true
+	if c.join != nil {
+		c.join.drop(p.peer, now)
+	}
+	c.out = append(c.out, Rejected{Stamp: p.target, Err: err})
+}
--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -171,8 +171,8 @@
 			if a.Stamp.Less(n.asked) {
 				s.fail("%s serves %s although a peer that it asked held %s", name, a.Stamp, n.asked)
 			}
-		case spread.Diverged:
-			s.fail("%s diverged: %+v", name, a)
+		case spread.Diverged, spread.Rejected:
+			s.fail("%s: %+v", name, a)
 		}
 	}
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -267,8 +267,7 @@
 		delete(c.pending, d.Prev)
 		v, err := c.View().Apply(d)
 		if err != nil {
-			// A section of a newer release cannot be read: the next exchange
-			// tries again, and the view stays at the state before it.
+			c.out = append(c.out, Rejected{Stamp: d.Stamp, Err: err})
 			break
 		}
 		c.recent.add(d)
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -246,6 +246,30 @@
 	}
 }
 
+// TestRejected guards against an answer that is installed although it does not
+// have its digest or cannot be read, and against a peer at the same stamp with
+// other content that nobody hears of.
+func TestRejected(t *testing.T) {
+	at := state.Stamp{Term: 1, Index: 5}
+	head := spread.Head{From: "n1"}
+	good := state.Change{Key: state.Key{Kind: state.KindInstance, Name: "i"}, Data: []byte("\n\x01i")}
+	bad := state.Change{Key: state.Key{Kind: 9, Name: "i"}, Data: []byte("x")}
+	for _, change := range []state.Change{good, bad} {
+		c := spread.New(spread.Peer{Name: "n0"}, spread.WithSeeds(spread.Peer{Name: "n1"}))
+		c.Tick(begin)
+		c.Receive(spread.Summary{Head: head, Purpose: spread.Answer, Stamp: at}, begin)
+		actions := c.Receive(spread.Sections{Head: head, Stamp: at, Digest: 1, Whole: true, Parts: 1, Changes: []state.Change{change}}, begin)
+		if _, ok := actions[0].(spread.Rejected); !ok || !c.View().Stamp().IsZero() || c.Serving() {
+			t.Fatalf("%v: %+v", change, actions)
+		}
+	}
+	c := spread.New(spread.Peer{Name: "n0"})
+	actions := c.Receive(spread.Summary{Head: head, Digest: 1}, begin)
+	if _, ok := actions[0].(spread.Diverged); !ok {
+		t.Fatalf("%+v", actions)
+	}
+}
+
 // TestCodec guards against fields that are lost on the wire.
 func TestCodec(t *testing.T) {
 	head := spread.Head{From: "n1"}
--- a/state/random_test.go
+++ b/state/random_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"pgregory.net/rapid"
@@ -237,6 +239,28 @@
 	}
 }
 
+// TestNewerRelease guards against an instance that loses its settings when a
+// newer release writes a document that it cannot read.
+func TestNewerRelease(t *testing.T) {
+	m := state.New()
+	m.Apply(state.Stamp{Term: 1, Index: 1}, state.NewApplyConfig("c1", 0, document(t, "7s"), "kim", epoch))
+	m.Apply(state.Stamp{Term: 1, Index: 2}, state.ApplyConfig{ID: "c2", Base: 1, Document: []byte("new_section: 1"), Author: "kim", At: epoch})
+	v := m.View()
+	if v.Config().Version() != 2 || v.Config().Err() == nil || v.Document().Defaults().MaxAge != 7*time.Second {
+		t.Fatalf("version %d, error %v, max age %s", v.Config().Version(), v.Config().Err(), v.Document().Defaults().MaxAge)
+	}
+}
+
+// TestOlderSnapshot guards against a machine that is set back by a restore.
+func TestOlderSnapshot(t *testing.T) {
+	m := state.New()
+	old := m.Snapshot()
+	m.Apply(state.Stamp{Term: 1, Index: 1}, state.NewApplyConfig("c1", 0, document(t, "7s"), "kim", epoch))
+	if err := m.Restore(old); !errors.Is(err, state.ErrOlderSnapshot) || m.View().Config().Version() != 1 {
+		t.Fatalf("error %v, version %d", err, m.View().Config().Version())
+	}
+}
+
 // FuzzDecodeCommand guards against a panic on arbitrary log entries, and
 // against a command that changes on its way through the codec.
 func FuzzDecodeCommand(f *testing.F) {
