--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -287,7 +287,7 @@
 	slowest time.Duration // until a change was everywhere
 }
 
-// longDocument returns a document of about 12 KiB.
+// longDocument returns a document of 9,798 bytes.
 func longDocument(tb testing.TB) *fleet.Document {
 	tb.Helper()
 	doc := fleet.Default()
