state: members of a zone without entries get an owner of another zone

Cause: measure overhead with one entry and three zones was refused for want of slots: members of zones without an entry had no owner, and nobody granted their slots. A small site with fewer entries than zones could not be used at all.

The owner now comes from another zone while the own zone has no entry, and moves once one registers.

--- a/state/owner.go
+++ b/state/owner.go
@@ -16,7 +16,8 @@
 type owners struct {
 	live    map[string][]string          // entry instances of each zone, sorted
 	owned   map[string]map[slot]struct{} // members of each owner
-	orphans map[string]map[slot]struct{} // members without owner of each zone
+	orphans map[string]map[slot]struct{} // members without an owner of their own zone, by zone
+	zones   map[string]string            // zone of each entry instance
 }
 
 func newOwners() owners {
@@ -24,16 +25,23 @@
 		live:    make(map[string][]string),
 		owned:   make(map[string]map[slot]struct{}),
 		orphans: make(map[string]map[slot]struct{}),
+		zones:   make(map[string]string),
 	}
 }
 
-// pick returns the live instance of the zone with the highest rendezvous score,
-// or "" when the zone has none.
+// pick returns the live instance of the zone with the highest rendezvous score.
+// A zone without entries, as in a small site, gets an owner from another zone:
+// without one, its members would have no slots for anybody.
 func (o *owners) pick(zone string, s slot) string {
+	list := o.live[zone]
+	if len(list) == 0 {
+		list = slices.Collect(maps.Keys(o.zones))
+	}
 	best, high := "", uint64(0)
 	prefix := fnv(fnv(fnvOffset, s.database)*fnvPrime, s.member) * fnvPrime
-	for _, name := range o.live[zone] {
-		if score := mix(fnv(prefix, name)); best == "" || score > high {
+	for _, name := range list {
+		score := mix(fnv(prefix, name))
+		if best == "" || score > high || score == high && name < best {
 			best, high = name, score
 		}
 	}
@@ -41,6 +49,7 @@
 }
 
 func (o *owners) enter(zone, name string) {
+	o.zones[name] = zone
 	list := o.live[zone]
 	if i, ok := slices.BinarySearch(list, name); !ok {
 		o.live[zone] = slices.Insert(list, i, name)
@@ -48,31 +57,38 @@
 }
 
 func (o *owners) exit(zone, name string) {
+	delete(o.zones, name)
 	list := o.live[zone]
 	if i, ok := slices.BinarySearch(list, name); ok {
 		o.live[zone] = slices.Delete(list, i, i+1)
 	}
 }
 
-// index returns the set that holds the member and the key of the set.
-func (o *owners) index(m *Member) (sets map[string]map[slot]struct{}, key string) {
+func (o *owners) record(db string, m *Member) {
+	at := slot{database: db, member: m.Name}
 	if m.Owner != "" {
-		return o.owned, m.Owner
+		insert(o.owned, m.Owner, at)
+	}
+	if m.Owner == "" || o.zones[m.Owner] != m.Zone {
+		insert(o.orphans, m.Zone, at)
 	}
-	return o.orphans, m.Zone
 }
 
-func (o *owners) record(db string, m *Member) {
-	sets, key := o.index(m)
+func (o *owners) release(db string, m *Member) {
+	at := slot{database: db, member: m.Name}
+	remove(o.owned, m.Owner, at)
+	remove(o.orphans, m.Zone, at)
+}
+
+func insert(sets map[string]map[slot]struct{}, key string, at slot) {
 	if sets[key] == nil {
 		sets[key] = make(map[slot]struct{})
 	}
-	sets[key][slot{database: db, member: m.Name}] = struct{}{}
+	sets[key][at] = struct{}{}
 }
 
-func (o *owners) release(db string, m *Member) {
-	sets, key := o.index(m)
-	delete(sets[key], slot{database: db, member: m.Name})
+func remove(sets map[string]map[slot]struct{}, key string, at slot) {
+	delete(sets[key], at)
 	if len(sets[key]) == 0 {
 		delete(sets, key)
 	}
@@ -132,6 +148,20 @@
 	}
 	if is {
 		t.move(t.m.owners.orphans[next.Zone])
+		t.adopt()
+	}
+}
+
+// adopt gives members without any owner one: those of zones that had no entry
+// when there was none in the other zones either.
+func (t *txn) adopt() {
+	for _, set := range t.m.owners.orphans {
+		for s := range maps.Clone(set) {
+			d := t.edit(s.database)
+			if m := d.member(s.member); m.Owner == "" {
+				t.move(map[slot]struct{}{s: {}})
+			}
+		}
 	}
 }
 
