--- a/cmds/run.go
+++ b/cmds/run.go
@@ -33,6 +33,7 @@
 		&fleetCommand{},
 		&measureCommand{},
 		&devCommand{},
+		&capacityCommand{},
 		&versionCommand{},
 	}
 }
