--- a/raft/election.go
+++ b/raft/election.go
@@ -28,7 +28,7 @@
 // a leader to contact it.
 func (n *Node) onElectionTimeout(now time.Time) {
 	n.resetDeadline(now)
-	if !n.members().Voter(n.hard.ID) {
+	if !n.mayLead() {
 		n.leader = 0
 		return
 	}
@@ -41,6 +41,16 @@
 	n.requestVotes(true)
 }
 
+// mayLead reports whether this member may become the leader. A voter whose
+// removal is not committed may: it can be the only one that holds the removal,
+// and then no other member can win against its longer log.
+func (n *Node) mayLead() bool {
+	if n.members().Voter(n.hard.ID) {
+		return true
+	}
+	return n.configs.latest().index > n.log.commit && n.configs.previous().members.Voter(n.hard.ID)
+}
+
 func (n *Node) becomeCandidate(now time.Time) {
 	n.role = Candidate
 	n.setHard(n.hard.Term+1, n.hard.ID)
--- a/raft/members.go
+++ b/raft/members.go
@@ -183,6 +183,10 @@
 
 func (cs configs) latest() config { return cs[len(cs)-1] }
 
+// previous returns the membership before the latest one. It is committed, since
+// a change is only made on top of a committed one.
+func (cs configs) previous() config { return cs[max(0, len(cs)-2)] }
+
 func (cs configs) at(i Index) config {
 	for k := len(cs) - 1; k > 0; k-- {
 		if cs[k].index <= i {
--- a/raft/random_test.go
+++ b/raft/random_test.go
@@ -53,6 +53,9 @@
 		i, h = l, s.hosts[l]
 	}
 	action := choose(27)
+	if s.churn && action < 6 {
+		action = 16
+	}
 	if action < 19 && !h.awake(s.now) {
 		s.start(i)
 		return
@@ -112,7 +115,7 @@
 		return raft.AddLearner{ID: id}
 	case m.Learner:
 		return raft.Promote{ID: id}
-	case len(ms.Voters()) > 3:
+	case s.churn || len(ms.Voters()) > 3:
 		return raft.Remove{ID: id}
 	}
 	return raft.SetAddress{ID: id, Address: "moved"}
@@ -177,6 +180,7 @@
 	s.loss = []float64{0, 0.05, 0.3}[s.rnd.IntN(3)]
 	s.crash = []float64{0, 0.02, 0.1}[s.rnd.IntN(3)]
 	s.disorder = 0.05
+	s.churn = s.rnd.IntN(2) == 0
 	for _, h := range s.hosts {
 		h.pace = normalPace/2 + s.rnd.IntN(normalPace)
 	}
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -52,6 +52,7 @@
 	loss      float64 // chance that a packet is dropped
 	disorder  float64 // chance that a packet is repeated or much delayed
 	crash     float64 // chance of a crash around each write
+	churn     bool    // the membership changes all the time
 	opts      []raft.Option
 	chk       *checker
 	request   uint64
--- a/raft/types.go
+++ b/raft/types.go
@@ -94,7 +94,7 @@
 type Output struct {
 	Persist   Persist
 	Messages  []Message
-	Restore   *Snapshot // replaces the applied state before Committed is applied
+	Restore   *Snapshot // replaces the applied state before Committed is applied; without data it is the initial state
 	Committed []Entry
 	Reads     []ReadResult
 	Fault     error // the log contradicts what was committed: the process must stop
