--- a/raft/random_test.go
+++ b/raft/random_test.go
@@ -15,6 +15,7 @@
 const (
 	scheduleSteps = 250
 	healTime      = 20 * time.Second // time to recover after the last fault
+	searchSeeds   = 1000             // schedules tried to catch a weakened rule
 )
 
 // TestMain fixes the seed so that every run gives the same verdict. Both flags
@@ -53,6 +54,9 @@
 		i, h = l, s.hosts[l]
 	}
 	action := choose(27)
+	if s.churn && action < 6 {
+		action = 16
+	}
 	if action < 19 && !h.awake(s.now) {
 		s.start(i)
 		return
@@ -112,7 +116,7 @@
 		return raft.AddLearner{ID: id}
 	case m.Learner:
 		return raft.Promote{ID: id}
-	case len(ms.Voters()) > 3:
+	case s.churn || len(ms.Voters()) > 3:
 		return raft.Remove{ID: id}
 	}
 	return raft.SetAddress{ID: id, Address: "moved"}
@@ -177,6 +181,7 @@
 	s.loss = []float64{0, 0.05, 0.3}[s.rnd.IntN(3)]
 	s.crash = []float64{0, 0.02, 0.1}[s.rnd.IntN(3)]
 	s.disorder = 0.05
+	s.churn = s.rnd.IntN(2) == 0
 	for _, h := range s.hosts {
 		h.pace = normalPace/2 + s.rnd.IntN(normalPace)
 	}
@@ -194,3 +199,19 @@
 		}
 	})
 }
+
+// TestSearch guards against random schedules whose checker sees nothing: if
+// membership changes do not wait for each other, one must be found that breaks
+// a promise.
+func TestSearch(t *testing.T) {
+	for seed := range uint64(searchSeeds) {
+		s := stormy(seed, raft.WithManyChanges)
+		s.churn, s.loss, s.crash = true, 0.3, 0
+		_ = schedule(s, s.rnd.IntN)
+		if s.chk.err != nil {
+			t.Logf("schedule %d: %v", seed, s.chk.err)
+			return
+		}
+	}
+	t.Fatal("the checker noticed nothing")
+}
