entry: keep transactions, deadlines and silent connections from failing early

Tests with pgx and with connections that break, go silent or are not read found the following. Each test failed before the change that it names. - A statement in a transaction older than queue_wait (500 ms) was refused with queue_full although slots were free: its place in the queue was counted from the start of the transaction, and that of a retry from its first attempt. The wait starts anew with each statement and attempt (TestLongTransaction). - At the deadline of a statement the entry took its own expired context for a broken connection: no cancel request was sent and the answer was 08006. The statement is cancelled now and answers 57014 (TestDeadlineAndCancel). - Close hung when called again once a database had been used, as inst.Shutdown does, so SIGTERM never ended such an instance (TestShutdown). - A connection whose path was lost while new ones work was taken for a slow server until the deadline, because the probe succeeds. Reads, and writes with an idempotency key, count it as silent once it took long_factor times what their shape usually takes. Other writes wait for their deadline, since they may wait for a lock.

--- a/entry/classify.go
+++ b/entry/classify.go
@@ -32,6 +32,7 @@
 	deadline    time.Time
 
 	need        group.Position // position that the snapshot of a read must hold
+	usual       time.Duration  // in which nearly all statements of this shape end, or 0
 	attempts    int
 	tried       []string
 	latest      bool // the bound is the newest acknowledged write
--- a/entry/database.go
+++ b/entry/database.go
@@ -30,6 +30,7 @@
 	for _, db := range t.m {
 		db.close()
 	}
+	t.m = make(map[string]*database) // a second close finds nothing
 }
 
 // database returns the runtime state of a database, made at first use.
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -424,6 +425,7 @@
 			return errs.New(x.outcomeIfLost(), errs.ReasonCancelled, "caller left")
 		}
 	}
+	start := time.Now()
 	for {
 		now := time.Now()
 		until := now.Add(x.req.policy.SilenceLimit)
@@ -432,19 +434,32 @@
 		}
 		if err := x.b.wc.WaitReadable(until); err == nil {
 			return nil
-		} else if !isTimeout(err) || ctx.Err() != nil {
+		} else if !isTimeout(err) || errors.Is(ctx.Err(), context.Canceled) {
 			return errs.New(x.outcomeIfLost(), errs.ReasonBackendLost, "connection to the backend server broke")
 		}
 		now = time.Now()
 		if !now.Before(x.req.deadline) {
 			return x.expire(ctx)
 		}
-		if !x.b.member.probe(ctx, x.req.policy.SilenceLimit, now) {
+		if !x.b.member.probe(ctx, x.req.policy.SilenceLimit, now) || now.Sub(start) > x.silence() {
 			return errs.New(x.outcomeIfLost(), errs.ReasonBackendSilent, "backend server went silent")
 		}
 	}
 }
 
+// silence is how long the backend server may send nothing although a probe
+// reaches it. The path of this connection alone may be lost: a statement whose
+// shape usually ends much sooner is taken for lost if nothing is at stake, that
+// is for a read, or for a write that its key settles. Other statements wait for
+// their deadline, since they may wait for a lock.
+func (x *execution) silence() time.Duration {
+	keyed := x.syncs || x.onlyBefore
+	if x.req.usual == 0 || x.c.tx != nil || x.req.write && !keyed {
+		return maxTimeout
+	}
+	return max(x.req.policy.SilenceLimit, time.Duration(x.req.policy.LongFactor*float64(x.req.usual)))
+}
+
 // expire cancels a statement whose deadline has passed and gives the backend
 // server a moment to confirm it, which proves that nothing was committed.
 func (x *execution) expire(ctx context.Context) error {
@@ -452,7 +467,8 @@
 		return errs.New(x.outcomeIfLost(), errs.ReasonDeadline, "statement did not end before its deadline")
 	}
 	x.req.cancelSent = true
-	cctx, stop := context.WithTimeout(ctx, cancelGrace)
+	// The deadline of ctx is that of the statement and has passed.
+	cctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelGrace)
 	defer stop()
 	if err := x.b.cancel(cctx); err == nil {
 		if err := x.b.wc.WaitReadable(time.Now().Add(cancelGrace)); err == nil {
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -140,10 +140,14 @@
 	x.holding, x.checked = true, true
 	x.syncs = true // statements of the proxy follow
 	x.before = []string{"BEGIN", insertKey(key, record(req.digest(), ""))}
+	start = time.Now()
 	err = c.execute(ctx, x)
 	if err == nil {
 		err = c.commitRecord(ctx, x, key)
 	}
+	if err == nil {
+		c.srv.learner.Observe(req.fingerprint, time.Since(start), time.Now())
+	}
 	if x.hidden != nil && x.hidden.Code == uniqueViolation {
 		x.keyed = keyTaken
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -91,10 +91,14 @@
 // admission describes the request to the queue of a member.
 func (c *session) admission(req *request) admit.Request {
 	est := c.srv.learner.Lookup(req.fingerprint, req.arrived)
+	req.usual = 0
+	if est.Known {
+		req.usual = est.High
+	}
 	return admit.Request{
 		Caller:   c.caller,
 		Class:    est.Class,
-		Arrived:  req.arrived,
+		Arrived:  time.Now(), // the wait in a queue starts anew with each attempt
 		Deadline: req.deadline,
 		Expected: est.Mean,
 	}
@@ -124,7 +128,7 @@
 	}
 	if err == nil && x.status != statusIdle {
 		open := x.req.open && x.status == 0
-		c.tx = &openTx{conn: x.b, started: x.req.arrived, vars: c.vars, unsynced: open, implicit: open}
+		c.tx = &openTx{conn: x.b, vars: c.vars, unsynced: open, implicit: open}
 		c.tx.wrote, c.tx.pins, c.tx.failed = x.req.write, x.req.pins, x.failure != nil
 		c.trackVars(x.req, x)
 		return
@@ -146,9 +150,7 @@
 		return c.commitKeyed(ctx, req)
 	}
 	m := tx.conn.member
-	r := c.admission(req)
-	r.Arrived = tx.started
-	ticket, err := m.gate.enter(ctx, r)
+	ticket, err := m.gate.enter(ctx, c.admission(req))
 	if err != nil {
 		return c.abortTx(req, nil, asError(err))
 	}
--- a/entry/session.go
+++ b/entry/session.go
@@ -54,11 +54,10 @@
 
 // openTx is a transaction that is open on a backend connection.
 type openTx struct {
-	conn    *backendConn
-	started time.Time
-	wrote   bool
-	pins    bool        // a statement left state on the connection
-	vars    sessionVars // settings if the transaction commits
+	conn  *backendConn
+	wrote bool
+	pins  bool        // a statement left state on the connection
+	vars  sessionVars // settings if the transaction commits
 
 	failed   bool // a statement failed
 	unsynced bool // a Flush came; the backend server waits for Sync
