authn: make unknown callers look like known ones; cmds: verifier

Faults found by unit tests and by a pgx client over TLS: - Every unknown name got one salt, and another one on each instance, so two attempts told which names exist (TestServerFirst).

The new subcommand verifier reads a password from standard input and prints the line for the callers file.

--- a/authn/authn.go
+++ b/authn/authn.go
@@ -32,7 +32,8 @@
 // entry.Authenticator.
 type Callers struct {
 	byName map[string]scram.StoredCredentials
-	mock   scram.StoredCredentials
+	secret []byte // key of the salts of unknown names
+	iters  int    // iterations that unknown names are told
 }
 
 // Load reads a file with one caller a line: the name, a colon and the SCRAM
@@ -48,11 +49,10 @@
 
 // Parse reads the content of a callers file.
 func Parse(data []byte) (*Callers, error) {
-	mock, err := unusable()
-	if err != nil {
-		return nil, err
-	}
-	c := &Callers{byName: make(map[string]scram.StoredCredentials), mock: mock}
+	// The secret follows from the file, so that all instances that read the same
+	// file give an unknown name the same salt, as they do for a known one.
+	secret := sha256.Sum256(data)
+	c := &Callers{byName: make(map[string]scram.StoredCredentials), secret: secret[:], iters: Iterations}
 	lines := bufio.NewScanner(bytes.NewReader(data))
 	for n := 1; lines.Scan(); n++ {
 		line := strings.TrimSpace(lines.Text())
@@ -67,6 +67,12 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "callers file line %d", n)
 		}
+		if _, ok := c.byName[name]; ok {
+			return nil, eris.Errorf("callers file line %d: caller %q is there already", n, name)
+		}
+		if len(c.byName) == 0 {
+			c.iters = cred.Iters
+		}
 		c.byName[name] = cred
 	}
 	return c, lines.Err()
@@ -77,7 +83,7 @@
 func (c *Callers) Start(user string) (entry.Conversation, error) {
 	cred, ok := c.byName[user]
 	if !ok {
-		cred = c.mock
+		cred = c.unusable(user)
 	}
 	// The PostgreSQL protocol names the user in the startup message; the name
 	// inside the SCRAM messages is ignored.
@@ -88,6 +94,21 @@
 	return server.NewConversation(), nil
 }
 
+// Line returns the line of a caller in a callers file, with a random salt.
+func Line(name, password string) (string, error) {
+	if name == "" || strings.ContainsAny(name, ":\r\n") || strings.HasPrefix(name, "#") || strings.TrimSpace(name) != name {
+		return "", eris.Errorf("invalid caller name %q: want text without colon, line break and outer spaces that does not start with #", name)
+	}
+	if password == "" {
+		return "", eris.New("the password is empty")
+	}
+	verifier, err := Verifier(password)
+	if err != nil {
+		return "", eris.Wrap(err, "password")
+	}
+	return name + ":" + verifier, nil
+}
+
 // Verifier returns the verifier of a password with a random salt.
 func Verifier(password string) (string, error) {
 	salt := make([]byte, saltLen)
@@ -131,6 +152,9 @@
 			return scram.StoredCredentials{}, malformed
 		}
 	}
+	if len(raw[0]) == 0 || len(raw[1]) != sha256.Size || len(raw[2]) != sha256.Size {
+		return scram.StoredCredentials{}, malformed
+	}
 	return scram.StoredCredentials{
 		KeyFactors: scram.KeyFactors{Salt: string(raw[0]), Iters: iters},
 		StoredKey:  raw[1],
@@ -138,18 +162,19 @@
 	}, nil
 }
 
-// unusable returns credentials that no password matches.
-func unusable() (scram.StoredCredentials, error) {
-	seed := make([]byte, sha256.Size+saltLen)
-	if _, err := rand.Read(seed); err != nil {
-		return scram.StoredCredentials{}, err
+// unusable returns credentials of an unknown name. They are the same at each
+// attempt and differ between names, as real ones do, and no password matches.
+func (c *Callers) unusable(user string) scram.StoredCredentials {
+	derive := func(purpose string) []byte {
+		h := hmac.New(sha256.New, c.secret)
+		_, _ = h.Write([]byte(purpose + user))
+		return h.Sum(nil)
 	}
-	h := hmac.New(sha256.New, seed)
 	return scram.StoredCredentials{
-		KeyFactors: scram.KeyFactors{Salt: string(seed[:saltLen]), Iters: Iterations},
-		StoredKey:  h.Sum(nil),
-		ServerKey:  h.Sum([]byte("server"))[:sha256.Size],
-	}, nil
+		KeyFactors: scram.KeyFactors{Salt: string(derive("salt ")[:saltLen]), Iters: c.iters},
+		StoredKey:  derive("stored "),
+		ServerKey:  derive("server "),
+	}
 }
 
 // TLS reads a certificate and its key for the callers' side.
--- a/cmds/run.go
+++ b/cmds/run.go
@@ -31,6 +31,7 @@
 		&controlCommand{},
 		&backendCommand{},
 		&fleetCommand{},
+		&verifierCommand{},
 		&measureCommand{},
 		&devCommand{},
 		&versionCommand{},
--- /dev/null
+++ b/cmds/verifier.go
@@ -0,0 +1,52 @@
+package cmds
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"tamarackcross/authn"
+	"tamarackcross/flags"
+)
+
+// verifierCommand prints the line of one caller for the callers file.
+type verifierCommand struct {
+	set  flags.Set
+	user string
+}
+
+func (*verifierCommand) name() string { return "verifier" }
+
+func (c *verifierCommand) register(sub *flaggy.Subcommand) {
+	sub.Description = "read a password from standard input and print the line of a caller for the callers file"
+	c.set.Required(&c.user, "user", "name of the caller")
+	c.set.Register(sub)
+}
+
+func (c *verifierCommand) run(stdout, stderr io.Writer) int {
+	if err := c.set.Finish(os.Getenv); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	line, err := c.line(os.Stdin)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	fmt.Fprintln(stdout, line)
+	return ExitOK
+}
+
+// line reads the password, which ends at the first line break.
+func (c *verifierCommand) line(r io.Reader) (string, error) {
+	password, err := bufio.NewReader(r).ReadString('\n')
+	if err != nil && !errors.Is(err, io.EOF) {
+		return "", err
+	}
+	return authn.Line(c.user, strings.TrimRight(password, "\r\n"))
+}
