meas: measure the overhead of a read through the proxy

One run compares reads through one entry with the same reads sent straight to a replica, in turns. CPU time is that of the process (getrusage), which holds callers and servers both ways. Idle callers are bare sockets outside the Go runtime, so heap plus stacks grow only by what the entry keeps for them; both ends take a file each, so the number is bounded by the file limit.

The instances dial without emul.Network here (site.WithPlainDial): its queues add goroutine switches to each message even without a delay, and would count as overhead of the proxy.

--- a/cmds/measure.go
+++ b/cmds/measure.go
@@ -6,7 +6,9 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -21,6 +23,10 @@
 	losses int
 	kinds  []string
 	level  string
+	seed   int
+	length time.Duration
+	quick  bool
+	pprof  string
 	subs   []*measurement
 }
 
@@ -38,7 +44,12 @@
 	c.set.Int(&c.losses, "losses", 21, 1, 1000, "losses of a primary of each kind")
 	c.set.List(&c.kinds, "kinds", "killed,cut,frozen", "kinds of loss")
 	c.set.Choice(&c.level, "log-level", "error", "least severe level to log on stderr", "debug", "info", "warn", "error")
+	c.set.Int(&c.seed, "seed", 1, 0, 1<<30, "seed of the random choices")
+	c.set.Duration(&c.length, "duration", 0, 0, time.Minute, "length of the main part; 0s means that of the experiment")
+	c.set.Bool(&c.quick, "quick", false, "short run that only shows that the experiment works")
+	c.set.String(&c.pprof, "cpu-profile", "", "file for a CPU profile of the process")
 	c.experiment(sub, "failover", "gap in writes when a primary is lost", c.failover)
+	c.experiment(sub, "overhead", "cost of a read through the proxy and of an idle caller", c.overhead)
 }
 
 func (c *measureCommand) experiment(parent *flaggy.Subcommand, name, help string, run func(context.Context, io.Writer, io.Writer) error) {
@@ -60,7 +71,7 @@
 		if !m.sub.Used {
 			continue
 		}
-		if err := m.run(ctx, stdout, stderr); err != nil {
+		if err := c.profiled(ctx, m, stdout, stderr); err != nil {
 			fmt.Fprintln(stderr, err)
 			return ExitFailed
 		}
@@ -70,6 +81,23 @@
 	return ExitUsage
 }
 
+// profiled runs a measurement, with a CPU profile if one was asked for.
+func (c *measureCommand) profiled(ctx context.Context, m *measurement, stdout, stderr io.Writer) error {
+	if c.pprof == "" {
+		return m.run(ctx, stdout, stderr)
+	}
+	f, err := os.Create(c.pprof)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return err
+	}
+	defer pprof.StopCPUProfile()
+	return m.run(ctx, stdout, stderr)
+}
+
 // profiles returns the deployments that --site selects.
 func (c *measureCommand) profiles() []meas.Profile {
 	if c.site == "all" {
@@ -95,3 +123,14 @@
 	}
 	return nil
 }
+
+func (c *measureCommand) options(stderr io.Writer) meas.Options {
+	return meas.Options{
+		Seed: uint64(c.seed), Duration: c.length, Quick: c.quick,
+		Log: newLog(stderr, c.level),
+	}
+}
+
+func (c *measureCommand) overhead(ctx context.Context, stdout, stderr io.Writer) error {
+	return meas.Overhead(ctx, meas.NewOutput(stdout), c.options(stderr))
+}
--- a/meas/caller.go
+++ b/meas/caller.go
@@ -36,8 +36,13 @@
 	if !errors.As(err, &pe) {
 		return errs.Unknown, ""
 	}
+	return outcomeIn(pe.Detail)
+}
+
+// outcomeIn reads the outcome and the reason from the detail of an error.
+func outcomeIn(detail string) (errs.Outcome, errs.Reason) {
 	outcome, reason := errs.Unknown, errs.Reason("")
-	for field := range strings.FieldsSeq(pe.Detail) {
+	for field := range strings.FieldsSeq(detail) {
 		if v, ok := strings.CutPrefix(field, "outcome="); ok {
 			outcome = errs.Outcome(v)
 		}
--- a/site/site.go
+++ b/site/site.go
@@ -54,6 +54,7 @@
 	network []emul.NetworkOption
 	log     zerolog.Logger
 	ttl     time.Duration
+	plain   bool
 }
 
 // WithMember adds options for the emulated members.
@@ -71,6 +72,11 @@
 	return func(o *options) { o.network = append(o.network, opts...) }
 }
 
+// WithPlainDial makes the instances dial without the network. Its queues add
+// latency and CPU time to each message even where it has no delay, which would
+// count as overhead of the proxy.
+func WithPlainDial() Option { return func(o *options) { o.plain = true } }
+
 // WithLog sets the log of all parts.
 func WithLog(l zerolog.Logger) Option { return func(o *options) { o.log = l } }
 
@@ -159,7 +165,7 @@
 	s.network.Register(peer, name, zone)
 	in, err := inst.Start(cfg,
 		inst.WithLog(s.opts.log.With().Str("instance", name).Logger()),
-		inst.WithDial(pgctl.DialFunc(s.network.Dialer(name, zone))),
+		inst.WithDial(s.dialer(name, zone)),
 		inst.WithEntry(s.opts.entry...),
 	)
 	if err != nil {
@@ -170,6 +176,14 @@
 	return in, nil
 }
 
+func (s *Site) dialer(name, zone string) pgctl.DialFunc {
+	if !s.opts.plain {
+		return pgctl.DialFunc(s.network.Dialer(name, zone))
+	}
+	var d net.Dialer
+	return func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+}
+
 func (s *Site) startMembers(ctx context.Context) error {
 	urls := make([]string, 0, len(s.instances))
 	for _, in := range s.instances {
