meas: measure the service during a crest of the demand

Each write has a key of its own and is looked up at the primary afterwards. The baseline is a pooler in the same process with fixed shares and an unbounded queue, under the same arrivals. Callers reach the entries without emul.Network: its queues would take most of the CPU time.

--- a/cmds/measure.go
+++ b/cmds/measure.go
@@ -50,6 +50,7 @@
 	c.set.String(&c.pprof, "cpu-profile", "", "file for a CPU profile of the process")
 	c.experiment(sub, "failover", "gap in writes when a primary is lost", c.failover)
 	c.experiment(sub, "overhead", "cost of a read through the proxy and of an idle caller", c.overhead)
+	c.experiment(sub, "crest", "service while the demand swings to ten times the capacity", c.crest)
 }
 
 func (c *measureCommand) experiment(parent *flaggy.Subcommand, name, help string, run func(context.Context, io.Writer, io.Writer) error) {
@@ -134,3 +135,20 @@
 func (c *measureCommand) overhead(ctx context.Context, stdout, stderr io.Writer) error {
 	return meas.Overhead(ctx, meas.NewOutput(stdout), c.options(stderr))
 }
+
+func (c *measureCommand) crest(ctx context.Context, stdout, stderr io.Writer) error {
+	return c.eachSite(ctx, stdout, stderr, meas.Crest)
+}
+
+// eachSite runs an experiment for each selected deployment.
+func (c *measureCommand) eachSite(ctx context.Context, stdout, stderr io.Writer,
+	run func(context.Context, *meas.Output, meas.Profile, meas.Options) error,
+) error {
+	out := meas.NewOutput(stdout)
+	for _, p := range c.profiles() {
+		if err := run(ctx, out, p, c.options(stderr)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/meas/failover.go
+++ b/meas/failover.go
@@ -172,18 +172,7 @@
 	return gap, f.awaitFollowing(l.db)
 }
 
-func (f *failover) primary(db string) (*emul.Server, error) {
-	g, ok := f.s.Instances()[0].Views().Group(db)
-	if !ok {
-		return nil, eris.Errorf("database %s is not known", db)
-	}
-	for _, srv := range f.s.Servers(db) {
-		if srv.Member().Name() == g.Primary {
-			return srv, nil
-		}
-	}
-	return nil, eris.Errorf("primary %s is not known", g.Primary)
-}
+func (f *failover) primary(db string) (*emul.Server, error) { return primaryOf(f.s, db) }
 
 // replaced reports whether another member has been made the primary.
 func (f *failover) replaced(db string, victim *emul.Server) bool {
--- a/meas/line.go
+++ b/meas/line.go
@@ -80,6 +80,12 @@
 	return m.Encode(nil)
 }
 
+func appendFrame(b []byte, typ byte, body []byte) []byte {
+	b = append(b, typ)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)+frameHeader-1))
+	return append(b, body...)
+}
+
 // answer is what a simple query returned.
 type answer struct {
 	value  string // first column of the last row
--- /dev/null
+++ b/meas/phase.go
@@ -0,0 +1,106 @@
+package meas
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"tamarackcross/errs"
+)
+
+// ReasonCount is the number of refusals of one reason.
+type ReasonCount struct {
+	Reason errs.Reason `json:"reason"`
+	Count  int64       `json:"count"`
+}
+
+// PhaseResult is what became of the arrivals of one phase.
+type PhaseResult struct {
+	Phase      string        `json:"phase"`
+	Seconds    float64       `json:"seconds"`
+	Offered    int64         `json:"offered"`
+	InTime     int64         `json:"answered_in_time"`
+	Late       int64         `json:"late"`
+	Refused    int64         `json:"refused"`
+	Reasons    []ReasonCount `json:"refused_by_reason,omitempty"`
+	Unknown    int64         `json:"unknown"`
+	Errors     int64         `json:"errors"`
+	NotOffered int64         `json:"not_offered"` // no caller connection within the bound
+	Goodput    float64       `json:"goodput_per_s"`
+	P50        float64       `json:"p50_ms"` // of all answers, late ones included
+	P99        float64       `json:"p99_ms"`
+}
+
+// phase is a part of a run by time of arrival.
+type phase struct {
+	name     string
+	from, to time.Duration
+}
+
+func (p phase) holds(at time.Duration) bool { return at >= p.from && at < p.to }
+
+// summarize counts the samples of a phase that keep accepts.
+func (p phase) summarize(all []sample, deadline time.Duration, keep func(sample) bool) PhaseResult {
+	r := PhaseResult{Phase: p.name, Seconds: (p.to - p.from).Seconds()}
+	took := newLatencies()
+	reasons := make(map[errs.Reason]int64)
+	for _, s := range all {
+		if !p.holds(s.at) || !keep(s) {
+			continue
+		}
+		if s.verdict == unoffered {
+			r.NotOffered++
+			continue
+		}
+		r.Offered++
+		r.count(s, deadline)
+		switch s.verdict {
+		case answered:
+			took.add(s.took)
+		case refused:
+			reasons[s.reason]++
+		}
+	}
+	r.P50, r.P99 = took.quantile(50), took.quantile(99)
+	r.Goodput = ratio(float64(r.InTime), r.Seconds)
+	r.Reasons = sortedReasons(reasons)
+	return r
+}
+
+func (r *PhaseResult) count(s sample, deadline time.Duration) {
+	switch s.verdict {
+	case answered:
+		if s.took > deadline {
+			r.Late++
+		} else {
+			r.InTime++
+		}
+	case refused:
+		r.Refused++
+	case unknown:
+		r.Unknown++
+	case failed:
+		r.Errors++
+	}
+}
+
+func sortedReasons(counts map[errs.Reason]int64) []ReasonCount {
+	var out []ReasonCount
+	for reason, n := range counts {
+		out = append(out, ReasonCount{reason, n})
+	}
+	slices.SortFunc(out, func(a, b ReasonCount) int { return strings.Compare(string(a.Reason), string(b.Reason)) })
+	return out
+}
+
+func everything(sample) bool { return true }
+
+// timeline returns goodput and p99 per step of a run.
+func timeline(all []sample, total, step, deadline time.Duration) (goodput, p99 []point) {
+	for from := time.Duration(0); from < total; from += step {
+		r := phase{from: from, to: from + step}.summarize(all, deadline, everything)
+		goodput = append(goodput, point{from.Seconds(), r.Goodput})
+		p99 = append(p99, point{from.Seconds(), r.P99})
+	}
+	return goodput, p99
+}
