meas: measure the share and the age of reads from replicas

Sessions write increasing values to rows of their own and read them back through random entries with their token, in a closed and an open loop, while the lag of each member swings between 0 and 500 ms. A read that returns less than the session wrote or read before is older than its bound. Reads with an age bound are checked by the time at which the writer of a clock row got its acknowledgements. Rows of crest and replicas also show the retries of the entries by reason, as evidence for missed goals.

--- a/cmds/measure.go
+++ b/cmds/measure.go
@@ -51,6 +51,7 @@
 	c.experiment(sub, "failover", "gap in writes when a primary is lost", c.failover)
 	c.experiment(sub, "overhead", "cost of a read through the proxy and of an idle caller", c.overhead)
 	c.experiment(sub, "crest", "service while the demand swings to ten times the capacity", c.crest)
+	c.experiment(sub, "replicas", "share and age of reads from replicas while the lag swings", c.replicas)
 }
 
 func (c *measureCommand) experiment(parent *flaggy.Subcommand, name, help string, run func(context.Context, io.Writer, io.Writer) error) {
@@ -140,6 +141,10 @@
 	return c.eachSite(ctx, stdout, stderr, meas.Crest)
 }
 
+func (c *measureCommand) replicas(ctx context.Context, stdout, stderr io.Writer) error {
+	return c.eachSite(ctx, stdout, stderr, meas.Replicas)
+}
+
 // eachSite runs an experiment for each selected deployment.
 func (c *measureCommand) eachSite(ctx context.Context, stdout, stderr io.Writer,
 	run func(context.Context, *meas.Output, meas.Profile, meas.Options) error,
--- a/meas/bench.go
+++ b/meas/bench.go
@@ -8,6 +8,7 @@
 
 	"tamarackcross/emul"
 	"tamarackcross/site"
+	"tamarackcross/stats"
 )
 
 // serviceTime is how long a short statement holds a slot.
@@ -74,6 +75,30 @@
 	return nil, eris.Errorf("primary %s is not known", g.Primary)
 }
 
+// counts adds up the counters of all entries.
+func (b *bench) counts() stats.Counts {
+	var all stats.Counts
+	for i := range b.s.Instances() {
+		n := b.s.Entry(i).Counts()
+		all.Writes += n.Writes
+		all.ReadsReplica += n.ReadsReplica
+		all.ReadsPrimary += n.ReadsPrimary
+	}
+	return all
+}
+
+// replicaShare returns the part of the reads since before that replicas served.
+// The baseline sends every read to a replica.
+func (b *bench) replicaShare(before stats.Counts) float64 {
+	if b.naive != nil {
+		return 1
+	}
+	now := b.counts()
+	replica := float64(now.ReadsReplica - before.ReadsReplica)
+	primary := float64(now.ReadsPrimary - before.ReadsPrimary)
+	return ratio(replica, replica+primary)
+}
+
 // Compared is one figure of both variants.
 type Compared struct {
 	Name     string  `json:"name"`
--- a/meas/crest.go
+++ b/meas/crest.go
@@ -22,8 +22,9 @@
 	GoodputRatio  float64       `json:"goodput_ratio"` // goodput at the crest by best
 	NormalP99     float64       `json:"normal_p99_ms"`
 	CrestP99      float64       `json:"crest_p99_ms"`
-	BackMS        float64       `json:"back_to_normal_ms"` // -1: not before the end of the run
-	CrestBusy     float64       `json:"crest_slots_busy"`  // part of the slots in use at the members
+	BackMS        float64       `json:"back_to_normal_ms"`           // -1: not before the end of the run
+	CrestBusy     float64       `json:"crest_slots_busy"`            // part of the slots in use at the members
+	Retries       []ReasonCount `json:"retries_by_reason,omitempty"` // of the sweep and the run
 	NotRunChecked int64         `json:"not_run_writes_checked"`
 	NotRunRan     int64         `json:"not_run_but_ran"`
 	DoneLost      int64         `json:"done_but_missing"`
@@ -151,6 +152,7 @@
 	c.samples = l.run(ctx, c.times.total(), func(at time.Duration) float64 { return c.times.rate(at, c.result.Capacity) })
 	c.result.CrestBusy = <-busy
 	c.result.GeneratorLate = millis(l.late)
+	c.result.Retries = b.retries()
 	c.summarize()
 	if err := c.verify(); err != nil {
 		return err
--- a/meas/output.go
+++ b/meas/output.go
@@ -97,6 +97,8 @@
 	return float64(l.h.ValueAtQuantile(q)) / 1000
 }
 
+func (l latencies) mean() float64 { return l.h.Mean() / 1000 }
+
 func (l latencies) count() int64 { return l.h.TotalCount() }
 
 // curve returns the quantiles of the distribution for a figure.
--- a/meas/phase.go
+++ b/meas/phase.go
@@ -43,7 +43,7 @@
 func (p phase) summarize(all []sample, deadline time.Duration, keep func(sample) bool) PhaseResult {
 	r := PhaseResult{Phase: p.name, Seconds: (p.to - p.from).Seconds()}
 	took := newLatencies()
-	reasons := make(map[errs.Reason]int64)
+	reasons := make(reasonCounts)
 	for _, s := range all {
 		if !p.holds(s.at) || !keep(s) {
 			continue
@@ -84,7 +84,19 @@
 	}
 }
 
-func sortedReasons(counts map[errs.Reason]int64) []ReasonCount {
+// addReasons returns the sum of both counts.
+func addReasons(to []ReasonCount, from reasonCounts) []ReasonCount {
+	sum := make(reasonCounts)
+	for _, c := range to {
+		sum[c.Reason] += c.Count
+	}
+	for reason, n := range from {
+		sum[reason] += n
+	}
+	return sortedReasons(sum)
+}
+
+func sortedReasons(counts reasonCounts) []ReasonCount {
 	var out []ReasonCount
 	for reason, n := range counts {
 		out = append(out, ReasonCount{reason, n})
--- a/meas/replicas.go
+++ b/meas/replicas.go
@@ -29,7 +29,9 @@
 	Older        int64         `json:"reads_older_than_session"`
 	AgeChecked   int64         `json:"age_reads_checked"`
 	AgeOlder     int64         `json:"age_reads_older_than_bound"`
+	AgeRefused   []ReasonCount `json:"age_reads_refused_by_reason,omitempty"`
 	Refused      []ReasonCount `json:"refused_by_reason,omitempty"`
+	Retries      []ReasonCount `json:"retries_by_reason,omitempty"` // warm-up included
 	Errors       int64         `json:"errors"`
 }
 
@@ -126,6 +128,7 @@
 		r.result.AgeChecked += c.checked
 		r.result.AgeOlder += c.older
 		r.result.Errors += c.errors
+		r.result.AgeRefused = addReasons(r.result.AgeRefused, c.reasons)
 	}
 	return err
 }
@@ -148,6 +151,7 @@
 		return err
 	}
 	r.result.ReplicaShare = r.b.replicaShare(before)
+	r.result.Retries = r.b.retries()
 	r.summarize(all)
 	return nil
 }
