--- a/cmds/measure.go
+++ b/cmds/measure.go
@@ -52,6 +52,7 @@
 	c.experiment(sub, "overhead", "cost of a read through the proxy and of an idle caller", c.overhead)
 	c.experiment(sub, "crest", "service while the demand swings to ten times the capacity", c.crest)
 	c.experiment(sub, "replicas", "share and age of reads from replicas while the lag swings", c.replicas)
+	c.experiment(sub, "shortwork", "delay of short work beside long work", c.shortwork)
 }
 
 func (c *measureCommand) experiment(parent *flaggy.Subcommand, name, help string, run func(context.Context, io.Writer, io.Writer) error) {
@@ -145,6 +146,10 @@
 	return c.eachSite(ctx, stdout, stderr, meas.Replicas)
 }
 
+func (c *measureCommand) shortwork(ctx context.Context, stdout, stderr io.Writer) error {
+	return c.eachSite(ctx, stdout, stderr, meas.ShortWork)
+}
+
 // eachSite runs an experiment for each selected deployment.
 func (c *measureCommand) eachSite(ctx context.Context, stdout, stderr io.Writer,
 	run func(context.Context, *meas.Output, meas.Profile, meas.Options) error,
