Requests wait for an owner of slots instead of being refused

A zone's entry takes its members over from an entry of another zone when it registers, and a new owner grants nothing for 1.1 s; the queue refused after 500 ms. Where no slot was granted for 600 ms the queue now waits up to 2.5 s, bounded by the deadline as before. Ruled out: a longer wait at all times, which would let the queue grow at a crest.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -22,6 +22,8 @@
 	armed   time.Time
 	closed  bool
 	usable  share.Amount
+	maxWait time.Duration
+	unowned bool
 	lease   Lease // nil without sharing
 }
 
@@ -29,6 +31,7 @@
 	g := &gate{
 		queue:   admit.New(admit.WithSlots(slots), admit.WithMaxWait(p.QueueWait), admit.WithLongShare(p.LongShare)),
 		waiting: make(map[uint64]chan admit.Decision),
+		maxWait: p.QueueWait,
 	}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
 	g.timer.Stop()
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -24,8 +24,16 @@
 	// Use sets how many slots may be used from now on.
 	Use(share.Amount)
 	Demand() share.Demand
+	// Unowned tells whether nobody hands out slots at present, as after the loss
+	// of an owner.
+	Unowned(bool)
 }
 
+// ownerPatience is how long requests wait for slots while there is no owner: a
+// new one grants nothing until the leases of the former one have run out, 1.1 s
+// after it was chosen.
+const ownerPatience = 2500 * time.Millisecond
+
 // WithLeases shares the slots of each backend server with other entries.
 // Without it the entry uses all of them.
 func WithLeases(l Leases) Option { return func(s *Server) { s.leases = l } }
@@ -44,6 +52,23 @@
 	g.arm(now)
 }
 
+// Unowned implements LeaseUser.
+func (g *gate) Unowned(unowned bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.unowned == unowned {
+		return
+	}
+	g.unowned = unowned
+	wait := g.maxWait
+	if unowned {
+		wait = max(wait, ownerPatience)
+	}
+	g.deliver(g.queue.SetMaxWait(wait, now))
+	g.arm(now)
+}
+
 // Demand implements LeaseUser.
 func (g *gate) Demand() share.Demand {
 	g.mu.Lock()
--- a/entry/member.go
+++ b/entry/member.go
@@ -64,6 +64,7 @@
 	}
 	if db.srv.leases != nil {
 		m.gate = newGate(0, policy)
+		m.gate.Unowned(true)
 		m.gate.lease = db.srv.leases.Join(db.name, b.Name, m.gate)
 	}
 	return m
--- a/inst/leases.go
+++ b/inst/leases.go
@@ -42,10 +42,15 @@
 
 	mu     sync.Mutex
 	holder *share.Holder
+	heard  time.Time // last grant of any slot
 	timer  *time.Timer
 	ended  bool
 }
 
+// unownedAfter is how long this entry may be without any slot before requests
+// are told to wait for an owner. Under contention slots rotate much faster.
+const unownedAfter = 600 * time.Millisecond
+
 // Join implements entry.Leases.
 func (l *leases) Join(database, member string, user entry.LeaseUser) entry.Lease {
 	k := &lease{l: l, key: memberKey{database, member}, user: user, holder: share.NewHolder(l.name, l.incarnation)}
@@ -73,7 +78,14 @@
 // pump applies what may be used and sends what is due. What is given back is
 // taken from the queue before the owner hears of it. The caller holds mu.
 func (k *lease) pump(now time.Time) {
+	unowned := now.Sub(k.heard) > unownedAfter
+	if unowned {
+		k.user.Unowned(true)
+	}
 	k.user.Use(k.holder.Usable(now))
+	if !unowned {
+		k.user.Unowned(false) // after Use: what waited longest starts first
+	}
 	d := k.user.Demand()
 	ask, due := k.holder.Ask(d, now)
 	k.user.Use(k.holder.Usable(now))
@@ -100,6 +112,9 @@
 	if k.ended || !k.holder.Receive(g, now) {
 		return
 	}
+	if g.Amount.Units > 0 {
+		k.heard = now
+	}
 	k.pump(now)
 }
 
