--- /dev/null
+++ b/cmds/script_test.go
@@ -0,0 +1,158 @@
+package cmds_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"slices"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"tamarackcross/cmds"
+)
+
+const (
+	pollInterval = 50 * time.Millisecond
+	pollLimit    = 12 * time.Second // for the fleet to reach a state
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"tamarackcross": func() { os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr)) },
+		"code":          func() { check(code(os.Args[1], os.Args[2:])) },
+		"until":         func() { check(until(os.Args[1], os.Args[2:])) },
+		"fetch":         func() { check(fetch(os.Args[1])) },
+		"sql":           func() { check(sql(os.Args[1], os.Args[2])) },
+	})
+}
+
+// TestScript guards the binary as a whole: each script starts processes of its
+// own, which end with it.
+func TestScript(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ports": ports,
+			"term":  term,
+		},
+	})
+}
+
+func check(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// code runs a command and checks its exit code.
+func code(want string, args []string) error {
+	cmd := exec.Command(args[0], args[1:]...)
+	cmd.Stdin, cmd.Stdout, cmd.Stderr = os.Stdin, os.Stdout, os.Stderr
+	_ = cmd.Run()
+	if got := strconv.Itoa(cmd.ProcessState.ExitCode()); got != want {
+		return fmt.Errorf("exit code %s, want %s", got, want)
+	}
+	return nil
+}
+
+// until repeats a command until its output matches a pattern.
+func until(pattern string, args []string) error {
+	re, err := regexp.Compile(pattern)
+	if err != nil {
+		return err
+	}
+	for end := time.Now().Add(pollLimit); ; time.Sleep(pollInterval) {
+		out, _ := exec.Command(args[0], args[1:]...).CombinedOutput()
+		if re.Match(out) {
+			_, err := os.Stdout.Write(out)
+			return err
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("no match for %s in\n%s", pattern, out)
+		}
+	}
+}
+
+// fetch prints status code and body of a URL.
+func fetch(url string) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	fmt.Println(resp.StatusCode)
+	_, err = io.Copy(os.Stdout, resp.Body)
+	return err
+}
+
+// tokenFile carries the session token from one call of sql to the next.
+const tokenFile = "token"
+
+// sql runs a statement through an entry as the session of the token and prints
+// the first value, or the command tag.
+func sql(addr, text string) error {
+	ctx, stop := context.WithTimeout(context.Background(), pollLimit)
+	defer stop()
+	url := "postgres://app@" + addr + "/app?sslmode=disable"
+	if tok, err := os.ReadFile(tokenFile); err == nil {
+		url += "&tamarackcross.token=" + string(tok)
+	}
+	c, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close(ctx) }()
+	rs, err := c.PgConn().Exec(ctx, text).ReadAll()
+	if err != nil {
+		return err
+	}
+	if last := rs[len(rs)-1]; len(last.Rows) > 0 {
+		fmt.Printf("%s\n", last.Rows[0][0])
+	} else {
+		fmt.Println(last.CommandTag)
+	}
+	return os.WriteFile(tokenFile, []byte(c.PgConn().ParameterStatus("tamarackcross.token")), 0o600)
+}
+
+// Ports are chosen below the range from which systems give ports to outgoing
+// connections, so that none of those takes one before the process listens.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+)
+
+// ports sets each variable to a loopback address with a free port.
+func ports(ts *testscript.TestScript, _ bool, names []string) {
+	for len(names) > 0 {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount)))
+		if err != nil {
+			continue // taken
+		}
+		defer l.Close() // the ports stay taken until all are chosen
+		ts.Setenv(names[0], l.Addr().String())
+		names = names[1:]
+	}
+}
+
+// term sends SIGTERM to the background process with the given --name.
+func term(ts *testscript.TestScript, _ bool, args []string) {
+	for _, cmd := range ts.BackgroundCmds() {
+		if i := slices.Index(cmd.Args, "--name"); i >= 0 && cmd.Args[i+1] == args[0] {
+			ts.Check(cmd.Process.Signal(syscall.SIGTERM))
+			return
+		}
+	}
+	ts.Fatalf("no process is called %s", args[0])
+}
--- a/inst/fleet.go
+++ b/inst/fleet.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -101,6 +103,8 @@
 		})
 	}
 	p.Wait()
+	slices.SortFunc(out.Instances, func(a, b admin.InstanceInfo) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(out.Databases, func(a, b admin.DatabaseInfo) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
