site: reserve ports that outgoing connections do not take

reserve took a port from the range of outgoing connections and closed it again before the instance listened. Ports now come from below that range and differ between the sites of a process.

--- a/site/site.go
+++ b/site/site.go
@@ -7,9 +7,11 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -120,19 +122,37 @@
 	return s.await(ctx)
 }
 
+// Ports of instances lie below those that the system gives to outgoing
+// connections. One of those could take a reserved port before its instance
+// listens.
+const (
+	lowestPort = 10_000
+	ports      = 20_000
+)
+
+// lastPort makes the sites of a process use different ports. It starts at a
+// random one, because other processes run sites too.
+var lastPort atomic.Uint32
+
+func init() { lastPort.Store(mathrand.Uint32N(ports)) }
+
 // reserve finds free loopback ports, for addresses that must be known before
 // the instances start.
 func reserve(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range ports {
+		if len(out) == n {
+			return out, nil
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", lowestPort+lastPort.Add(1)%ports)
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer l.Close()
-		out = append(out, l.Addr().String())
+		out = append(out, addr)
 	}
-	return out, nil
+	return nil, eris.Errorf("fewer than %d ports are free", n)
 }
 
 func (s *Site) startInstances() error {
