--- a/cmds/measure.go
+++ b/cmds/measure.go
@@ -27,6 +27,7 @@
 	length time.Duration
 	quick  bool
 	pprof  string
+	report string
 	subs   []*measurement
 }
 
@@ -47,6 +48,7 @@
 	c.set.Int(&c.seed, "seed", 1, 0, 1<<30, "seed of the random choices")
 	c.set.Duration(&c.length, "duration", 0, 0, time.Minute, "length of the main part; 0s means that of the experiment")
 	c.set.Bool(&c.quick, "quick", false, "short run that only shows that the experiment works")
+	c.set.String(&c.report, "report", "", "folder for a page with plots of the results")
 	c.set.String(&c.pprof, "cpu-profile", "", "file for a CPU profile of the process")
 	c.experiment(sub, "failover", "gap in writes when a primary is lost", c.failover)
 	c.experiment(sub, "overhead", "cost of a read through the proxy and of an idle caller", c.overhead)
@@ -135,23 +137,27 @@
 }
 
 func (c *measureCommand) overhead(ctx context.Context, stdout, stderr io.Writer) error {
-	return meas.Overhead(ctx, meas.NewOutput(stdout), c.options(stderr))
+	out := meas.NewOutput(stdout)
+	if err := meas.Overhead(ctx, out, c.options(stderr)); err != nil {
+		return err
+	}
+	return c.writeReport(out, "overhead")
 }
 
 func (c *measureCommand) crest(ctx context.Context, stdout, stderr io.Writer) error {
-	return c.eachSite(ctx, stdout, stderr, meas.Crest)
+	return c.eachSite(ctx, "crest", stdout, stderr, meas.Crest)
 }
 
 func (c *measureCommand) replicas(ctx context.Context, stdout, stderr io.Writer) error {
-	return c.eachSite(ctx, stdout, stderr, meas.Replicas)
+	return c.eachSite(ctx, "replicas", stdout, stderr, meas.Replicas)
 }
 
 func (c *measureCommand) shortwork(ctx context.Context, stdout, stderr io.Writer) error {
-	return c.eachSite(ctx, stdout, stderr, meas.ShortWork)
+	return c.eachSite(ctx, "shortwork", stdout, stderr, meas.ShortWork)
 }
 
 // eachSite runs an experiment for each selected deployment.
-func (c *measureCommand) eachSite(ctx context.Context, stdout, stderr io.Writer,
+func (c *measureCommand) eachSite(ctx context.Context, name string, stdout, stderr io.Writer,
 	run func(context.Context, *meas.Output, meas.Profile, meas.Options) error,
 ) error {
 	out := meas.NewOutput(stdout)
@@ -160,5 +166,13 @@
 			return err
 		}
 	}
-	return nil
+	return c.writeReport(out, name)
+}
+
+// writeReport writes the page of an experiment if one was asked for.
+func (c *measureCommand) writeReport(out *meas.Output, name string) error {
+	if c.report == "" {
+		return nil
+	}
+	return out.WriteReport(c.report, name)
 }
--- a/meas/shortwork.go
+++ b/meas/shortwork.go
@@ -35,9 +35,17 @@
 // shortLoads are the loads, in parts of the slots.
 var shortLoads = []float64{0.5, 0.7}
 
+// shortLoads leaves out all but the first load of a quick run.
+func (o Options) shortLoads() []float64 {
+	if o.Quick {
+		return shortLoads[:1]
+	}
+	return shortLoads
+}
+
 // ShortWork measures how much long work delays short work.
 func ShortWork(ctx context.Context, out *Output, p Profile, o Options) error {
-	for _, load := range shortLoads {
+	for _, load := range o.shortLoads() {
 		fig := figure{title: fmt.Sprintf("Short work, %s, load %g", p.Name, load), x: "percentile", y: "ms"}
 		var rows [2]ShortWorkResult
 		for i, v := range []Variant{Proxy, Baseline} {
