entry: answer a repeated key only from a record that the group keeps

A write sent again with its key found its record at a primary that was cut off and was answered as done. The record was discarded when the primary followed its successor, so an acknowledged write was lost.

The record is now read between two majority rounds of the same term. Ruled out: one round after the read, because a promoted member that has not clipped its log yet still shows its discarded tail.

--- a/entry/keys.go
+++ b/entry/keys.go
@@ -77,7 +77,7 @@
 		key := attemptKey(c.set.key, n)
 		x, err := c.attemptKeyed(ctx, req, key)
 		if err == nil && x.keyed == keyTaken {
-			value, lookupErr := c.lookupKey(ctx, x.b.member, key)
+			value, lookupErr := c.settledKey(ctx, x.b.member, key)
 			if lookupErr == nil && value == tombstone {
 				n++
 				continue
@@ -263,6 +263,34 @@
 	return rows[0][0], nil
 }
 
+// settledKey reads a record that survives a promotion. A primary that was
+// replaced, or that has not discarded its tail yet, can hold records that the
+// group does not keep: m must be confirmed as the primary of one term both
+// before and after the record is read.
+func (c *session) settledKey(ctx context.Context, m *member, key string) (string, error) {
+	g, err := m.db.group()
+	if err != nil {
+		return "", err
+	}
+	if g.Primary != m.name {
+		return "", errReplaced
+	}
+	if _, err := m.db.confirms.current(ctx); err != nil {
+		return "", err
+	}
+	value, err := c.lookupKey(ctx, m, key)
+	if err != nil {
+		return "", err
+	}
+	if _, err := m.db.confirms.current(ctx); err != nil {
+		return "", err
+	}
+	if now, err := m.db.group(); err != nil || now.Term != g.Term {
+		return "", errReplaced
+	}
+	return value, nil
+}
+
 // replyClosed answers a write whose answer was lost and whose attempt was
 // closed.
 func (c *session) replyClosed(req *request, e *errs.Error, outcome errs.Outcome, value string) error {
@@ -342,11 +370,7 @@
 		return "", false, err
 	}
 	inserted = err == nil
-	if value, err = c.lookupKey(ctx, m, key); err != nil {
-		return "", inserted, err
-	}
-	// The record itself must survive a promotion before its word counts.
-	_, err = db.confirms.current(ctx)
+	value, err = c.settledKey(ctx, m, key)
 	return value, inserted, err
 }
 
@@ -370,7 +394,7 @@
 	}
 	c.endTx(x)
 	if x.hidden != nil && x.hidden.Code == uniqueViolation {
-		value, err := c.lookupKey(ctx, tx.conn.member, c.set.key)
+		value, err := c.settledKey(ctx, tx.conn.member, c.set.key)
 		return c.replyRepeated(req, value, err)
 	}
 	return c.conclude(ctx, req, x)
