inst: the owner of a member watches its database without callers, too

When all callers of a database used entries of one zone, only that zone reported a lost primary, and two zones must agree: the primary was not replaced within 20 s (scenario p6, entry and primary killed at once). Ruled out: letting one zone decide, because it may be the one that is cut off. Owners are in the zones of the members and their number per instance is bounded by the assignment, so they watch now.

--- a/entry/database.go
+++ b/entry/database.go
@@ -57,6 +57,13 @@
 	return db, nil
 }
 
+// Watch follows the primary of a database and reports on it, as it does for a
+// database that callers use.
+func (s *Server) Watch(database string) error {
+	_, err := s.database(database)
+	return err
+}
+
 // database is what an entry knows about one group while it serves it.
 type database struct {
 	srv  *Server
--- a/inst/inst.go
+++ b/inst/inst.go
@@ -202,6 +202,7 @@
 	if i.entry != nil {
 		i.run(i.report.run)
 		i.run(i.contact.run)
+		i.run(i.watchOwned)
 		i.run(func(ctx context.Context) error { return i.entry.Serve(ctx, i.callers) })
 	}
 	if i.admin != nil {
