--- /dev/null
+++ b/site/fault_test.go
@@ -0,0 +1,367 @@
+package site_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarackcross/admin"
+	"tamarackcross/emul"
+	"tamarackcross/fleet"
+	"tamarackcross/site"
+)
+
+// fault returns a command that makes a failure, or ends one.
+func (s *scene) fault(d *datadriven.TestData) func() string {
+	var names []string
+	for _, a := range d.CmdArgs {
+		if len(a.Vals) == 0 {
+			names = append(names, s.resolve(a.Key))
+		}
+	}
+	after := s.duration(d, "to", 0)
+	return func() string {
+		if len(names) == 0 {
+			return "no name given"
+		}
+		if done, err := s.networkFault(d.Cmd, names); done {
+			return s.result(err)
+		}
+		if i := s.instance(names[0]); i >= 0 {
+			return s.instanceFault(d.Cmd, i)
+		}
+		if srv := s.server(names[0]); srv != nil {
+			return s.result(s.memberFault(d.Cmd, srv, after))
+		}
+		return "nothing has the name " + names[0]
+	}
+}
+
+func (s *scene) networkFault(cmd string, names []string) (bool, error) {
+	n := s.site.Network()
+	switch cmd {
+	case "cut":
+		n.Cut(names[0], names[1])
+	case "heal":
+		n.Heal(names[0], names[1])
+	case "isolate":
+		n.Isolate(names[0])
+	case "rejoin":
+		n.Rejoin(names[0])
+	case "silence":
+		n.SilenceExisting(names[0], names[1])
+	default:
+		return false, nil
+	}
+	return true, nil
+}
+
+func (s *scene) memberFault(cmd string, srv *emul.Server, to time.Duration) error {
+	m := srv.Member()
+	switch cmd {
+	case "kill":
+		return srv.Stop()
+	case "start":
+		return srv.Start(s.ctx)
+	case "freeze":
+		m.Freeze()
+	case "thaw":
+		m.Thaw()
+	case "wipe":
+		m.Wipe()
+	case "lag":
+		m.SetApplyLag(to)
+	case "shiplag":
+		m.SetShipLag(to)
+	case "service":
+		m.SetService(to)
+	case "leave":
+		s.site.Leave(m.Name())
+	default:
+		return fmt.Errorf("unknown command %s", cmd)
+	}
+	return nil
+}
+
+func (s *scene) instanceFault(cmd string, i int) string {
+	switch cmd {
+	case "kill":
+		s.site.StopInstance(i)
+	case "start":
+		return s.result(s.site.StartInstance(i))
+	case "wipe":
+		return s.result(s.site.WipeInstance(i))
+	case "shutdown":
+		ctx, stop := context.WithTimeout(s.ctx, limit)
+		defer stop()
+		cut, err := s.site.ShutdownInstance(ctx, i)
+		if err != nil {
+			return err.Error()
+		}
+		return fmt.Sprintf("cut %d", cut)
+	default:
+		return "unknown command " + cmd
+	}
+	return "ok"
+}
+
+// awaitAll waits for conditions, one after the other.
+func (s *scene) awaitAll(d *datadriven.TestData) string {
+	within := s.duration(d, "limit", limit)
+	for _, a := range d.CmdArgs {
+		if a.Key == "limit" {
+			continue
+		}
+		value := ""
+		if len(a.Vals) > 0 {
+			value = s.resolve(a.Vals[0])
+		}
+		cond := s.condition(a.Key, value)
+		if cond == nil {
+			return "unknown condition " + a.Key
+		}
+		if !s.await(within, cond) {
+			return fmt.Sprintf("not within %s: %s %s\n%s", within, a.Key, value, s.describe())
+		}
+	}
+	return "ok"
+}
+
+func (s *scene) condition(name, value string) func() bool {
+	n, _ := strconv.Atoi(value)
+	switch name {
+	case "replaced": // another member is the primary
+		return func() bool { p := s.primary(); return p != "" && p != value }
+	case "following": // every member follows the primary of the newest term
+		return s.following
+	case "progress": // every worker had n more requests acknowledged
+		return s.progress(n)
+	case "resumed": // n more requests were acknowledged to some worker of each load
+		return s.resumed(n)
+	case "version": // every running instance has the configuration version
+		return func() bool {
+			return s.running(func(i int) bool { return s.site.Instance(i).Fleet().Version == uint64(n) })
+		}
+	case "ready": // every running instance takes callers
+		return func() bool { return s.running(func(i int) bool { return s.site.Instance(i).Ready() == nil }) }
+	case "voters": // the control log has n members that vote
+		return func() bool { return s.voters() == n }
+	case "idle": // the member gets no work for a while
+		return s.idle(s.server(value).Member())
+	case "busy": // the member executes a statement
+		m := s.server(value).Member()
+		return func() bool { return m.Busy() > 0 }
+	}
+	return nil
+}
+
+func (s *scene) describe() string {
+	var out []string
+	for _, srv := range s.site.Servers(database) {
+		out = append(out, fmt.Sprintf("%+v", srv.Member().Status()))
+	}
+	for i, in := range s.site.Instances() {
+		f := in.Fleet()
+		out = append(out, fmt.Sprintf("%s stopped=%t ready=%v version=%d index=%d", in.Name(), s.site.Stopped(i), in.Ready(), f.Version, f.Index))
+	}
+	for _, l := range s.loads {
+		out = append(out, fmt.Sprint(l.acks()))
+	}
+	return strings.Join(out, "\n")
+}
+
+func (s *scene) running(f func(i int) bool) bool {
+	for i := range s.site.Plan().Entries {
+		if !s.site.Stopped(i) && !f(i) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *scene) following() bool {
+	primary := s.primary()
+	if s.server(primary) == nil {
+		return false
+	}
+	term := s.server(primary).Member().Status().Term
+	for _, srv := range s.site.Servers(database) {
+		st := srv.Member().Status()
+		if st.Term != term || (st.Role == emul.Primary) != (st.Member == primary) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *scene) progress(n int) func() bool {
+	var before [][]int
+	for _, l := range s.loads {
+		before = append(before, l.acks())
+	}
+	return func() bool {
+		for i, l := range s.loads {
+			for j, acked := range l.acks() {
+				if acked < before[i][j]+n {
+					return false
+				}
+			}
+		}
+		return true
+	}
+}
+
+func (s *scene) resumed(n int) func() bool {
+	var before []int
+	for _, l := range s.loads {
+		before = append(before, sum(l.acks()))
+	}
+	return func() bool {
+		for i, l := range s.loads {
+			if sum(l.acks()) < before[i]+n {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func sum(list []int) int {
+	total := 0
+	for _, n := range list {
+		total += n
+	}
+	return total
+}
+
+func (s *scene) voters() int {
+	return len(s.site.Instance(s.leader()).Node().Status().Members.Voters())
+}
+
+// idleTime is how long a member must be without work to count as unused. The
+// scenarios offer it work much more often than that before it leaves.
+const idleTime = 300 * time.Millisecond
+
+func (s *scene) idle(m *emul.Member) func() bool {
+	since := time.Now()
+	return func() bool {
+		if m.Busy() > 0 {
+			since = time.Now()
+		}
+		return time.Since(since) > idleTime
+	}
+}
+
+// change submits a new deadline in the configuration, again with the same
+// identifier until an answer comes.
+func (s *scene) change(d *datadriven.TestData) func() string {
+	i := s.instance(s.arg(d, "at", "entry-1"))
+	doc, err := fleet.Default().WithDefault("deadline", s.arg(d, "deadline", "5s"))
+	if err != nil {
+		return func() string { return err.Error() }
+	}
+	id := s.arg(d, "id", "change")
+	body, err := json.Marshal(admin.Change{ID: id, Base: uint64(s.number(d, "base", 1)), Author: "operator", Document: string(doc.YAML())})
+	if err != nil {
+		return func() string { return err.Error() }
+	}
+	return func() string {
+		var r admin.ChangeResult
+		code := 0
+		s.await(limit, func() bool {
+			code = request(s.ctx, http.MethodPost, s.site.Instance(i).Admin(), body, &r)
+			return code == http.StatusOK || code == http.StatusConflict
+		})
+		if code != http.StatusOK {
+			return fmt.Sprintf("status %d winner=%s version=%d", code, r.WinnerID, r.WinnerVersion)
+		}
+		return fmt.Sprintf("accepted version=%d", r.Version)
+	}
+}
+
+// requestLimit is longer than an instance may take to answer a change.
+const requestLimit = 4 * time.Second
+
+// request calls the fleet API of an instance. It returns 0 without an answer.
+func request(ctx context.Context, method, addr string, body []byte, into any) int {
+	ctx, stop := context.WithTimeout(ctx, requestLimit)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/v1/fleet", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// watchEvery is the time between looks at the version that an instance shows.
+const watchEvery = 10 * time.Millisecond
+
+// watcher notes each instance that shows a lower configuration version than
+// before, also across its restarts.
+type watcher struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu    sync.Mutex
+	found []string
+}
+
+func watchVersions(ctx context.Context, s *site.Site) *watcher {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watcher{cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		w.run(ctx, s)
+	}()
+	return w
+}
+
+func (w *watcher) run(ctx context.Context, s *site.Site) {
+	highest := make([]uint64, s.Plan().Entries)
+	for ctx.Err() == nil {
+		for i := range highest {
+			var f admin.Fleet
+			if request(ctx, http.MethodGet, s.Instance(i).Admin(), nil, &f) != http.StatusOK {
+				continue
+			}
+			if f.Version < highest[i] {
+				w.note(fmt.Sprintf("%s went back from version %d to %d", f.Instance, highest[i], f.Version))
+			}
+			highest[i] = max(highest[i], f.Version)
+		}
+		time.Sleep(watchEvery)
+	}
+}
+
+func (w *watcher) note(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.found = append(w.found, text)
+}
+
+func (w *watcher) problems() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.found
+}
+
+func (w *watcher) stop() {
+	w.cancel()
+	<-w.done
+}
--- a/site/site.go
+++ b/site/site.go
@@ -10,6 +10,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,11 +40,15 @@
 	folder    string
 	servers   map[string][]*emul.Server // by database
 	announced []chan error
-	instances []*inst.Instance
+	leave     map[string]func() // by member
 	cancel    context.CancelFunc
 	opts      options
 	key       [32]byte
 	control   []string
+
+	mu        sync.Mutex
+	instances []*inst.Instance
+	stopped   map[int]bool
 }
 
 // Option configures the parts of a site.
@@ -87,7 +93,10 @@
 		opt(&o)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	s := &Site{plan: plan, servers: make(map[string][]*emul.Server), cancel: cancel, opts: o}
+	s := &Site{
+		plan: plan, servers: make(map[string][]*emul.Server), leave: make(map[string]func()),
+		cancel: cancel, opts: o, stopped: make(map[int]bool),
+	}
 	s.network = emul.NewNetwork(o.network...)
 	if err := s.start(ctx); err != nil {
 		s.Close()
@@ -136,7 +145,7 @@
 	}
 	s.control = peers[:s.plan.Control]
 	for i := range s.plan.Entries {
-		in, err := s.startInstance(i, peers[i])
+		in, err := s.startInstance(i, inst.Config{Callers: "127.0.0.1:0", Peer: peers[i], Admin: "127.0.0.1:0"})
 		if err != nil {
 			return err
 		}
@@ -145,18 +154,16 @@
 	return nil
 }
 
-func (s *Site) startInstance(i int, peer string) (*inst.Instance, error) {
+// startInstance starts instance i on the addresses of cfg.
+func (s *Site) startInstance(i int, cfg inst.Config) (*inst.Instance, error) {
 	name := fmt.Sprintf("entry-%d", i+1)
 	zone := s.plan.Zones[i%len(s.plan.Zones)]
-	cfg := inst.Config{
-		Name: name, Zone: zone,
-		Callers: "127.0.0.1:0", Peer: peer, Admin: "127.0.0.1:0",
-		Control: s.control, TokenKey: s.key[:], Backend: entry.Credentials{User: "app"},
-	}
+	cfg.Name, cfg.Zone = name, zone
+	cfg.Control, cfg.TokenKey, cfg.Backend = s.control, s.key[:], entry.Credentials{User: "app"}
 	if i < s.plan.Control {
-		cfg.DataDir = filepath.Join(s.folder, name)
+		cfg.DataDir = s.dataDir(i)
 	}
-	s.network.Register(peer, name, zone)
+	s.network.Register(cfg.Peer, name, zone)
 	in, err := inst.Start(cfg,
 		inst.WithLog(s.opts.log.With().Str("instance", name).Logger()),
 		inst.WithDial(pgctl.DialFunc(s.network.Dialer(name, zone))),
@@ -170,6 +177,8 @@
 	return in, nil
 }
 
+func (s *Site) dataDir(i int) string { return filepath.Join(s.folder, fmt.Sprintf("entry-%d", i+1)) }
+
 func (s *Site) startMembers(ctx context.Context) error {
 	urls := make([]string, 0, len(s.instances))
 	for _, in := range s.instances {
@@ -203,6 +212,7 @@
 	first := i % len(urls)
 	order := append(append([]string(nil), urls[first:]...), urls[:first]...)
 	a := emul.NewAnnouncer(srv, order, emul.WithTTL(s.opts.ttl))
+	s.leave[name] = a.Leave
 	done := make(chan error, 1)
 	go func() { done <- a.Run(ctx) }()
 	s.announced = append(s.announced, done)
@@ -257,14 +267,32 @@
 // Servers returns the members of a database in the order of the zones.
 func (s *Site) Servers(db string) []*emul.Server { return s.servers[db] }
 
-// Instances returns the instances.
-func (s *Site) Instances() []*inst.Instance { return s.instances }
+// Leave makes a member announce from now on that it is leaving.
+func (s *Site) Leave(member string) {
+	if f, ok := s.leave[member]; ok {
+		f()
+	}
+}
+
+// Instances returns the instances. One that was stopped keeps its place.
+func (s *Site) Instances() []*inst.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.instances)
+}
+
+// Instance returns instance i.
+func (s *Site) Instance(i int) *inst.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instances[i]
+}
 
 // Entry returns the entry role of instance i.
-func (s *Site) Entry(i int) *entry.Server { return s.instances[i].Entry() }
+func (s *Site) Entry(i int) *entry.Server { return s.Instance(i).Entry() }
 
 // Addr returns the address on which instance i serves callers.
-func (s *Site) Addr(i int) string { return s.instances[i].Callers() }
+func (s *Site) Addr(i int) string { return s.Instance(i).Callers() }
 
 // Plan returns the size of the site.
 func (s *Site) Plan() Plan { return s.plan }
@@ -275,8 +303,8 @@
 	for _, done := range s.announced {
 		<-done
 	}
-	for _, in := range s.instances {
-		in.Close()
+	for i := range s.instances {
+		s.StopInstance(i)
 	}
 	for _, servers := range s.servers {
 		for _, srv := range servers {
