ctrl: keep the identity of the member apart from the store

go test -race ./cmds reported a data race in one of three runs of the script fleet: join read the identity from the store while the loop of the node saved to it. (Of the other two runs one passed and one failed with its output cut off, so its cause is not known.) The identity does not change after Open, so the node keeps it. Two runs with -race passed since; as the race came only in some runs, the cause rests on the report of the detector and on reading the code.

--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -50,10 +50,11 @@
 	restore  func(*state.View)
 	leader   leaderFactory
 
-	store   *store.Store
-	machine *state.Machine
-	inbox   chan event
-	wires   *wires
+	store    *store.Store
+	identity raft.ID // read by any goroutine; the store belongs to one
+	machine  *state.Machine
+	inbox    chan event
+	wires    *wires
 
 	// Fields below belong to the loop, but for status.
 	core     *raft.Node
@@ -151,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.store = st
+	n.store, n.identity = st, st.Identity()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.wires = newWires(n)
 	go func() {
@@ -186,7 +187,7 @@
 
 // Identity returns the identity of the member, which changes when its data
 // folder is lost.
-func (n *Node) Identity() raft.ID { return n.store.Identity() }
+func (n *Node) Identity() raft.ID { return n.identity }
 
 // Status returns the status after the last event.
 func (n *Node) Status() raft.Status {
