--- a/cmds/script_test.go
+++ b/cmds/script_test.go
@@ -42,6 +42,11 @@
 func TestScript(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
+		Setup: func(e *testscript.Env) error {
+			// The race detector lets each process wait for a second at its end.
+			e.Setenv("GORACE", "atexit_sleep_ms=0")
+			return nil
+		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"ports": ports,
 			"term":  term,
