Fixes for zones that are cut off, extended writes during a promotion, and first owners

Four causes found by scenarios over whole sites: - An entry in a zone that is cut off knew only what the lost primary last told about its replica, and sent reads by bound to that primary. It now asks the replicas when the primary has been silent for 600 ms. - After a cut, messages about leases that had waited were sent one by one, each with its own time limit of 500 ms, so slots came back 10 s late. What waited for an unreachable peer is dropped: it is out of date. - BindComplete went to the caller before a write was known to have run, so a write that the former primary turned down could not be sent to its successor. - Owners that change before a database has its first term cost 1.1 s without slots each, although nobody can have been granted any. The first epoch of grants is now part of the shared state.

--- a/entry/execute.go
+++ b/entry/execute.go
@@ -381,7 +381,7 @@
 		return nil
 	}
 	x.status = f.Body[0]
-	if !x.checked && x.failure == nil && !x.req.describe && x.req.reads() {
+	if !x.checked && x.failure == nil && !x.req.describe && x.req.reads() && !x.req.onPrimary() {
 		return errs.New(errs.NotRun, errs.ReasonProtocol, "backend server reported no position for the read")
 	}
 	return nil
@@ -389,6 +389,12 @@
 
 // emit passes a frame on to the caller, or holds it.
 func (x *execution) emit(f wire.Frame) error {
+	if !x.checked && x.req.onPrimary() && ran(f.Type) {
+		x.checked = true
+		if err := x.writePrefix(); err != nil {
+			return err
+		}
+	}
 	if !x.checked && !x.req.describe {
 		x.prefix = appendFrame(x.prefix, f)
 		if len(x.prefix) > maxHeld {
@@ -409,6 +415,13 @@
 	return x.c.conn.WriteFrame(f)
 }
 
+// ran reports frames that show that a statement ran. Until one comes, a request
+// that the primary turns down can be sent to its successor, so nothing of the
+// answer, such as BindComplete, may have gone to the caller.
+func ran(typ byte) bool {
+	return typ == 'D' || typ == 'C' || typ == 'I' || typ == 's'
+}
+
 func (x *execution) writeTail() error {
 	tail := x.tail
 	x.tail = nil
--- a/entry/route.go
+++ b/entry/route.go
@@ -24,12 +24,20 @@
 	if err != nil {
 		return nil, err
 	}
+	asked := false
 	for {
 		moved := db.movement()
 		now := time.Now()
 		q.Waited = now.Sub(req.arrived)
 		switch choice := db.pick(q, now).(type) {
 		case route.Use:
+			if !q.Write && !asked && db.silentPrimary(choice, now) {
+				asked = true
+				if err := db.askReplicas(ctx, moved, choice.Need); err != nil {
+					return nil, err
+				}
+				continue
+			}
 			req.need, req.latest = choice.Need, choice.Confirm
 			return db.named(choice.Name)
 		case route.Wait:
@@ -203,6 +211,50 @@
 	return nil
 }
 
+const (
+	// silentAfter is how long the watch of the primary may get no answer before
+	// reads look for a replica that is further than known.
+	silentAfter = 600 * time.Millisecond
+	// askLimit bounds the wait for the answers of the replicas.
+	askLimit = 150 * time.Millisecond
+)
+
+// silentPrimary reports whether the choice is a primary that has not answered
+// for some time. What is known of the replicas came from it and is old.
+func (db *database) silentPrimary(choice route.Use, now time.Time) bool {
+	g, err := db.group()
+	if err != nil || choice.Confirm || choice.Name != g.Primary {
+		return false
+	}
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return now.Sub(db.heard) > silentAfter
+}
+
+// askReplicas asks every replica for its position and waits until one has
+// answered something new. An entry in a zone that is cut off finds out this way
+// that the replica of its zone has reached the bound.
+func (db *database) askReplicas(ctx context.Context, moved <-chan struct{}, need group.Position) error {
+	g, err := db.group()
+	if err != nil {
+		return err
+	}
+	for _, b := range g.Members {
+		if b.Name != g.Primary {
+			db.member(b).follow(need)
+		}
+	}
+	t := time.NewTimer(askLimit)
+	defer t.Stop()
+	select {
+	case <-moved:
+	case <-t.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
 func newRand(seed uint64, name string) *rand.Rand {
 	var h uint64
 	for i := range len(name) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -78,7 +78,7 @@
 }
 
 func (c *session) newExecution(b *backendConn, req *request) *execution {
-	return &execution{c: c, b: b, req: req, checked: req.need.IsZero()}
+	return &execution{c: c, b: b, req: req, checked: req.need.IsZero() && !(c.tx == nil && req.onPrimary())}
 }
 
 // execute runs x so that a cancel request finds its connection.
--- a/inst/announce.go
+++ b/inst/announce.go
@@ -72,11 +72,7 @@
 }
 
 func (s *announcements) known(a admin.Announcement) (state.Member, bool) {
-	db, ok := s.views.View().Group(a.Database)
-	if !ok {
-		return state.Member{}, false
-	}
-	return db.Member(a.Instance)
+	return s.views.member(memberKey{a.Database, a.Instance})
 }
 
 func (s *announcements) differs(m state.Member, a admin.Announcement) bool {
--- a/inst/broker.go
+++ b/inst/broker.go
@@ -61,17 +61,14 @@
 	return h, epoch
 }
 
-// firstEpoch is the epoch of the first owner that a backend server ever had:
-// there is no former owner whose grants have to run out.
-const firstEpoch = 1
-
 // renew makes the broker fit the epoch and the limit in force. The caller holds
 // mu.
 func (h *hosted) renew(epoch uint64, now time.Time) {
 	limit := h.wanted()
 	if h.broker == nil || h.broker.Epoch() != epoch {
 		var opts []share.BrokerOption
-		if epoch == firstEpoch {
+		if epoch == h.firstEpoch() {
+			// There is no former owner whose grants have to run out.
 			opts = append(opts, share.WithoutFormer())
 		}
 		h.broker = share.NewBroker(epoch, limit, now, opts...)
@@ -83,17 +80,19 @@
 	}
 }
 
+// firstEpoch returns the first epoch in which slots can have been granted.
+func (h *hosted) firstEpoch() uint64 {
+	m, _ := h.l.views.member(h.key)
+	return m.FirstEpoch
+}
+
 // wanted returns the limit of the backend server as announced.
 func (h *hosted) wanted() share.Amount {
-	view := h.l.views.View()
-	db, ok := view.Group(h.key.database)
-	if !ok {
-		return share.Amount{}
-	}
-	m, ok := db.Member(h.key.member)
+	m, ok := h.l.views.member(h.key)
 	if !ok {
 		return share.Amount{}
 	}
+	view := h.l.views.View()
 	settings := view.Document().Resolve(fleet.Scope{Database: h.key.database})
 	units := int(m.Slots)
 	return share.Amount{Units: units, Long: share.LongLimit(units, settings.LongShare)}
--- a/inst/links.go
+++ b/inst/links.go
@@ -102,12 +102,26 @@
 			}
 			idle.Reset(linkIdle)
 		case env := <-k.queue:
-			conn = l.deliver(conn, k.key.addr, env)
+			if conn = l.deliver(conn, k.key.addr, env); conn == nil {
+				k.drain()
+			}
 			idle.Reset(linkIdle)
 		}
 	}
 }
 
+// drain drops what waited while the peer was out of reach. It is out of date, and
+// sending it one by one would delay what follows by half a second each.
+func (k *link) drain() {
+	for {
+		select {
+		case <-k.queue:
+		default:
+			return
+		}
+	}
+}
+
 // retire forgets an idle link, unless a message came in the meantime.
 func (l *links) retire(k *link) bool {
 	l.mu.Lock()
--- a/inst/views.go
+++ b/inst/views.go
@@ -113,5 +113,14 @@
 	return g
 }
 
+// member returns a member of a database.
+func (v *Views) member(k memberKey) (state.Member, bool) {
+	db, ok := v.View().Group(k.database)
+	if !ok {
+		return state.Member{}, false
+	}
+	return db.Member(k.member)
+}
+
 // Resolve returns the settings in force for a scope.
 func (v *Views) Resolve(s fleet.Scope) fleet.Settings { return v.View().Document().Resolve(s) }
--- a/state/owner.go
+++ b/state/owner.go
@@ -97,13 +97,15 @@
 // assign gives a member that the index does not hold its owner.
 func (t *txn) assign(d *Database, m *Member) {
 	s := slot{database: d.name, member: m.Name}
-	t.grant(m, t.m.owners.pick(m.Zone, s))
+	t.grant(d, m, t.m.owners.pick(m.Zone, s))
 	t.m.owners.record(d.name, m)
 }
 
 // grant sets the owner, and raises the epoch when the owner or its incarnation
-// changes: a restarted owner has forgotten what it granted.
-func (t *txn) grant(m *Member, owner string) {
+// changes: a restarted owner has forgotten what it granted. Before the bootstrap
+// nobody serves the database, so no owner has granted anything: the first epoch
+// of grants is then still to come.
+func (t *txn) grant(d *Database, m *Member, owner string) {
 	var incarnation uint64
 	if owner != "" {
 		incarnation = t.incarnation(owner)
@@ -114,6 +116,9 @@
 	m.Owner = owner
 	m.OwnerIncarnation = incarnation
 	m.Epoch++
+	if !d.Bootstrapped() || m.FirstEpoch == 0 {
+		m.FirstEpoch = m.Epoch
+	}
 }
 
 func (t *txn) incarnation(name string) uint64 {
@@ -172,7 +177,8 @@
 		return
 	}
 	for s := range t.m.owners.owned[next.Name] {
-		t.grant(t.edit(s.database).member(s.member), next.Name)
+		d := t.edit(s.database)
+		t.grant(d, d.member(s.member), next.Name)
 	}
 }
 
--- a/state/section.go
+++ b/state/section.go
@@ -116,6 +116,9 @@
 	Owner            string
 	OwnerIncarnation uint64
 	Epoch            uint64
+	// FirstEpoch is the first epoch in which slots can have been granted: nobody
+	// serves a database before its bootstrap.
+	FirstEpoch uint64
 }
 
 // Counts reports whether what the member holds counts towards a majority. A
@@ -210,7 +213,7 @@
 		Name: m.Name, Incarnation: m.Incarnation, Store: m.Store, Zone: m.Zone, Address: m.Address,
 		Slots: m.Slots, Connections: m.Connections, Leaving: m.Leaving, Gone: m.Gone,
 		Voter: m.Voter, VoterStore: m.VoterStore,
-		Owner: m.Owner, OwnerIncarnation: m.OwnerIncarnation, Epoch: m.Epoch,
+		Owner: m.Owner, OwnerIncarnation: m.OwnerIncarnation, Epoch: m.Epoch, FirstEpoch: m.FirstEpoch,
 	}
 }
 
@@ -219,7 +222,7 @@
 		Name: p.GetName(), Incarnation: p.GetIncarnation(), Store: p.GetStore(), Zone: p.GetZone(), Address: p.GetAddress(),
 		Slots: p.GetSlots(), Connections: p.GetConnections(), Leaving: p.GetLeaving(), Gone: p.GetGone(),
 		Voter: p.GetVoter(), VoterStore: p.GetVoterStore(),
-		Owner: p.GetOwner(), OwnerIncarnation: p.GetOwnerIncarnation(), Epoch: p.GetEpoch(),
+		Owner: p.GetOwner(), OwnerIncarnation: p.GetOwnerIncarnation(), Epoch: p.GetEpoch(), FirstEpoch: p.GetFirstEpoch(),
 	}
 }
 
