meas: keep a shortwork run under a minute per site

With the former lengths the eight sites of a run took more than 62 s. The measured part is now 2 s and the warm-up 1 s.

--- a/meas/shortwork.go
+++ b/meas/shortwork.go
@@ -26,7 +26,7 @@
 	longFactor     = 50   // duration of long work by that of short work
 	longPart       = 0.05 // of the requests
 	shortDeadline  = 5 * time.Second
-	shortWarmup    = 2 * time.Second // in which the entries learn the durations
+	shortWarmup    = time.Second // in which the entries learn the durations
 	shortWorkTable = "work"
 	// shortCallers bounds the caller connections, as crestCallers does.
 	shortCallers = 4800
@@ -119,7 +119,7 @@
 
 // phase is the measured part of a run.
 func (w *shortWork) phase() phase {
-	d := w.o.duration(4*time.Second, 400*time.Millisecond)
+	d := w.o.duration(2*time.Second, 400*time.Millisecond)
 	warmup := min(shortWarmup, d)
 	return phase{from: warmup, to: warmup + d}
 }
