entry, ctrl: closing twice does not hang

Cause: Shutdown closes the entry and then the instance, which closes the entry again. database.close waited a second time for the one value that its watch had sent, so an entry that had opened a database never ended after SIGTERM; in ctrl the wires had the same fault. Both channels are now closed after the value.

Ruled out: requests in flight and callers (none were open); a goroutine that does not end (the dump showed no watch left, only main in database.close).

Before: 3 of 4 entry processes ignored SIGTERM, one for 10 minutes. Not run again with -race after this change.

--- a/ctrl/wires.go
+++ b/ctrl/wires.go
@@ -78,7 +78,10 @@
 	ctx, cancel := context.WithCancel(w.n.ctx)
 	l = &wire{addr: addr, queue: make(chan *ctlpb.RaftMessage, wireQueue), cancel: cancel, done: make(chan error, 1)}
 	w.byID[id] = l
-	go func() { l.done <- l.run(ctx, w.n.dial) }()
+	go func() {
+		l.done <- l.run(ctx, w.n.dial)
+		close(l.done) // Close may be called twice
+	}()
 	return l
 }
 
--- a/entry/database.go
+++ b/entry/database.go
@@ -107,7 +107,10 @@
 		done:     make(chan error, 1),
 	}
 	db.confirms.init(db)
-	go func() { db.done <- db.watch(ctx) }()
+	go func() {
+		db.done <- db.watch(ctx)
+		close(db.done) // a shutdown closes the database twice
+	}()
 	db.wg.Go(func() { db.maintain(ctx) })
 	return db
 }
--- a/inst/site_test.go
+++ b/inst/site_test.go
@@ -343,3 +343,19 @@
 	took := await(t, "writes through the zone", forceGoal, func() bool { return write(t, c, "k3", "after") == nil })
 	t.Logf("writes resumed %s after the cut ended", took)
 }
+
+// TestShutdown guards against an instance that hangs at a graceful shutdown once
+// it has served a caller.
+func TestShutdown(t *testing.T) {
+	s := startSite(t)
+	if err := write(t, connect(t, s, 0, ""), "k", "v"); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan int64, 1)
+	go func() { done <- s.Instances()[0].Shutdown(context.Background()) }()
+	select {
+	case <-done:
+	case <-time.After(waitLimit):
+		t.Fatalf("the shutdown has not ended after %s", waitLimit)
+	}
+}
