--- a/route/balance.go
+++ b/route/balance.go
@@ -7,10 +7,12 @@
 	// DefaultTarget leaves a margin above the replica share goal of 0.95.
 	DefaultTarget = 0.97
 
-	minPenalty     = 100 * time.Microsecond
-	maxPenalty     = 2 * time.Second
-	balanceGain    = 1.0 / 16
-	initialPenalty = 50 * time.Millisecond
+	minPenalty  = 100 * time.Microsecond
+	maxPenalty  = 2 * time.Second
+	balanceGain = 1.0 / 16
+	// initialPenalty is near the value at which the share settles while the lag
+	// swings to 500 ms: an entry sees too few reads to get there fast from below.
+	initialPenalty = 300 * time.Millisecond
 )
 
 // Balance adapts the penalty of reads at the primary so that replicas serve the
