--- a/site/site.go
+++ b/site/site.go
@@ -60,6 +60,7 @@
 	network []emul.NetworkOption
 	log     zerolog.Logger
 	ttl     time.Duration
+	host    string
 }
 
 // WithMember adds options for the emulated members.
@@ -80,15 +81,20 @@
 // WithLog sets the log of all parts.
 func WithLog(l zerolog.Logger) Option { return func(o *options) { o.log = l } }
 
+// WithHost sets the loopback address on which all parts listen. With one that
+// no connection comes from, a part that starts again finds its port free.
+func WithHost(ip string) Option { return func(o *options) { o.host = ip } }
+
 const (
-	defaultTTL = 2 * time.Second
-	startLimit = 20 * time.Second      // for a site to be able to serve
-	startPoll  = 20 * time.Millisecond // between looks whether it is
+	defaultHost = "127.0.0.1"
+	defaultTTL  = 2 * time.Second
+	startLimit  = 20 * time.Second      // for a site to be able to serve
+	startPoll   = 20 * time.Millisecond // between looks whether it is
 )
 
 // Start starts a site and waits until every entry can serve every database.
 func Start(ctx context.Context, plan Plan, opts ...Option) (*Site, error) {
-	o := options{log: zerolog.Nop(), ttl: defaultTTL}
+	o := options{log: zerolog.Nop(), ttl: defaultTTL, host: defaultHost}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -125,10 +131,10 @@
 
 // reserve finds free loopback ports, for addresses that must be known before
 // the instances start.
-func reserve(n int) ([]string, error) {
+func reserve(host string, n int) ([]string, error) {
 	var out []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
 			return nil, err
 		}
@@ -139,13 +145,14 @@
 }
 
 func (s *Site) startInstances() error {
-	peers, err := reserve(s.plan.Entries)
+	peers, err := reserve(s.opts.host, s.plan.Entries)
 	if err != nil {
 		return err
 	}
 	s.control = peers[:s.plan.Control]
+	free := net.JoinHostPort(s.opts.host, "0")
 	for i := range s.plan.Entries {
-		in, err := s.startInstance(i, inst.Config{Callers: "127.0.0.1:0", Peer: peers[i], Admin: "127.0.0.1:0"})
+		in, err := s.startInstance(i, inst.Config{Callers: free, Peer: peers[i], Admin: free})
 		if err != nil {
 			return err
 		}
@@ -202,7 +209,7 @@
 		emul.WithConnections(s.plan.Connections),
 		emul.WithDial(s.network.Dialer(name, zone)),
 	}, s.opts.member...)
-	srv := emul.NewServer(emul.New(name, db, opts...), zone, "127.0.0.1:0")
+	srv := emul.NewServer(emul.New(name, db, opts...), zone, net.JoinHostPort(s.opts.host, "0"))
 	if err := srv.Start(ctx); err != nil {
 		return err
 	}
