--- a/inst/leases.go
+++ b/inst/leases.go
@@ -48,8 +48,10 @@
 }
 
 // unownedAfter is how long this entry may be without any slot before requests
-// are told to wait for an owner. Under contention slots rotate much faster.
-const unownedAfter = 600 * time.Millisecond
+// are told to wait for an owner. It is below the default queue wait, so that a
+// request that came right after the loss of the owner is not refused first.
+// Under contention slots rotate much faster.
+const unownedAfter = 400 * time.Millisecond
 
 // Join implements entry.Leases.
 func (l *leases) Join(database, member string, user entry.LeaseUser) entry.Lease {
