--- a/ctrl/liveness.go
+++ b/ctrl/liveness.go
@@ -18,8 +18,6 @@
 // prune removes the registrations of entries that went silent. A zone from
 // which less than half of the entries report may be cut off: its entries keep
 // their registrations and go on as owners of the backend servers of the zone.
-// If none reports although its backend servers are reached from outside, the
-// zone is not cut off and its entries are lost.
 func (p *promoter) prune(now time.Time) {
 	if p.removing || p.since.IsZero() || now.Sub(p.since) < instanceTimeout {
 		return
@@ -42,10 +40,7 @@
 		zones[in.Zone] = c
 	}
 	for _, in := range silent {
-		c := zones[in.Zone]
-		most := 2*c.live >= c.registered && c.live > 0
-		none := c.live == 0 && now.Sub(p.reached[in.Zone]) < liveFor
-		if most || none {
+		if c := zones[in.Zone]; 2*c.live >= c.registered && c.live > 0 {
 			p.remove(in)
 			return
 		}
--- a/ctrl/promoter.go
+++ b/ctrl/promoter.go
@@ -32,7 +32,6 @@
 	databases map[string]*supervised
 	entries   map[string]liveEntry
 	heard     map[string]time.Time // last report of each entry
-	reached   map[string]time.Time // last contact from outside with a backend server of each zone
 	since     time.Time            // first tick of this leadership
 	removing  bool
 	view      *state.View
@@ -77,7 +76,6 @@
 	p.databases = make(map[string]*supervised)
 	p.entries = make(map[string]liveEntry)
 	p.heard = make(map[string]time.Time)
-	p.reached = make(map[string]time.Time)
 	p.since = time.Time{}
 	p.view = nil
 	p.next = time.Time{}
@@ -236,24 +234,9 @@
 		Position: group.Position{Term: o.GetPositionTerm(), Offset: o.GetPositionOffset()},
 	}
 	d.note(r)
-	if r.Health == promo.Reachable {
-		p.noteContact(d.name, r.Member, r.Zone, at)
-	}
 	p.step(d, r, now)
 }
 
-// noteContact records that an instance of the zone from reached a member.
-func (p *promoter) noteContact(database, member, from string, at time.Time) {
-	db, ok := p.n.machine.View().Group(database)
-	if !ok {
-		return
-	}
-	m, ok := db.Member(member)
-	if ok && m.Zone != from && at.After(p.reached[m.Zone]) {
-		p.reached[m.Zone] = at
-	}
-}
-
 func healthOf(o *ctlpb.Observation) promo.Health {
 	switch {
 	case !o.GetReachable():
@@ -440,16 +423,9 @@
 	if err != nil {
 		return
 	}
-	r := promo.Report{
+	p.later(d, promo.Report{
 		Instance: p.n.name, Zone: p.n.zone, Member: member, At: time.Now(), Health: promo.Reachable,
 		Term: st.Term, Position: st.Held, Idle: st.Role == pgctl.RoleFenced,
-	}
-	_ = p.n.post(p.n.ctx, func(now time.Time) raft.Output {
-		if p.databases[d.name] == d && d.machine != nil {
-			p.noteContact(d.name, member, p.n.zone, now)
-			p.step(d, r, now)
-		}
-		return raft.Output{}
 	})
 }
 
--- a/entry/database.go
+++ b/entry/database.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -68,14 +67,13 @@
 
 // database is what an entry knows about one group while it serves it.
 type database struct {
-	heard atomic.Int64 // when the primary last answered the watch, in ns since 1970
-
 	srv  *Server
 	name string
 
 	mu       sync.Mutex
 	members  map[string]*member
 	majority group.Position // newest position known to be held by a majority
+	heard    time.Time      // when the primary last answered the watch
 	changed  chan struct{}  // closed at each rise of majority
 	moved    chan struct{}  // closed when a member is seen to have applied more
 	samples  route.Samples  // positions of the primary over time
@@ -328,7 +326,7 @@
 func (db *database) raise(p group.Position, now time.Time) {
 	db.mu.Lock()
 	defer db.mu.Unlock()
-	db.heard.Store(now.UnixNano())
+	db.heard = now
 	if !db.majority.Less(p) {
 		return
 	}
@@ -337,11 +335,6 @@
 	db.changed = make(chan struct{})
 }
 
-// silent reports whether the primary has not answered the watch for some time.
-func (db *database) silent(now time.Time) bool {
-	return now.UnixNano()-db.heard.Load() > int64(silentAfter)
-}
-
 // confirmed reports whether a majority is known to hold p.
 func (db *database) confirmed(p group.Position) bool {
 	db.mu.Lock()
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -24,8 +24,7 @@
 	usable  share.Amount
 	maxWait time.Duration
 	unowned bool
-	patient func() bool // whether requests have no other member to go to
-	lease   Lease       // nil without sharing
+	lease   Lease // nil without sharing
 }
 
 func newGate(slots int, p fleet.Settings) *gate {
@@ -33,7 +32,6 @@
 		queue:   admit.New(admit.WithSlots(slots), admit.WithMaxWait(p.QueueWait), admit.WithLongShare(p.LongShare)),
 		waiting: make(map[uint64]chan admit.Decision),
 		maxWait: p.QueueWait,
-		patient: func() bool { return true },
 	}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
 	g.timer.Stop()
@@ -120,13 +118,12 @@
 	slots   int
 	running int
 	waiting int
-	unowned bool
 }
 
 func (g *gate) load() gateLoad {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return gateLoad{slots: g.queue.Slots(), running: g.queue.Running(), waiting: g.queue.Waiting(), unowned: g.unowned && g.lease != nil}
+	return gateLoad{slots: g.queue.Slots(), running: g.queue.Running(), waiting: g.queue.Waiting()}
 }
 
 // drain refuses everything that waits.
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -29,9 +29,9 @@
 	Unowned(bool)
 }
 
-// ownerPatience is how long requests wait for slots of the primary while there is
-// no owner: a new one grants nothing until the leases of the former one have run
-// out, 1.1 s after it was chosen. Reads have other members to go to.
+// ownerPatience is how long requests wait for slots while there is no owner: a
+// new one grants nothing until the leases of the former one have run out, 1.1 s
+// after it was chosen.
 const ownerPatience = 2500 * time.Millisecond
 
 // WithLeases shares the slots of each backend server with other entries.
@@ -62,7 +62,7 @@
 	}
 	g.unowned = unowned
 	wait := g.maxWait
-	if unowned && g.patient() {
+	if unowned {
 		wait = max(wait, ownerPatience)
 	}
 	g.deliver(g.queue.SetMaxWait(wait, now))
--- a/entry/member.go
+++ b/entry/member.go
@@ -64,7 +64,6 @@
 	}
 	if db.srv.leases != nil {
 		m.gate = newGate(0, policy)
-		m.gate.patient = func() bool { return m.primary() || db.silent(time.Now()) }
 		m.gate.Unowned(true)
 		m.gate.lease = db.srv.leases.Join(db.name, b.Name, m.gate)
 	}
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -30,8 +30,7 @@
 		req.primaryOnly = true
 		return true
 	}
-	elsewhere := e.Reason() == errs.ReasonQueueFull && req.unowned && !req.onPrimary()
-	if !repeatable(e.Reason()) && !elsewhere {
+	if !repeatable(e.Reason()) {
 		return false
 	}
 	if x != nil {
--- a/entry/route.go
+++ b/entry/route.go
@@ -123,7 +123,7 @@
 	}
 	for _, b := range g.Members {
 		m := db.memberLocked(b).view(b, g, now)
-		m.Open = m.Open && !db.silent(now) || !db.breakers.Usable(b.Name, now)
+		m.Open = !db.breakers.Usable(b.Name, now)
 		m.Weight = db.breakers.Weight(b.Name, now)
 		view.Members = append(view.Members, m)
 	}
@@ -163,7 +163,6 @@
 		Load:    float64(load.running+load.waiting) / slots,
 		Wait:    time.Duration(float64(load.waiting) / slots * float64(m.db.srv.learner.Typical())),
 		Leaving: b.Leaving,
-		Open:    load.unowned, // nobody hands out its slots at present
 	}
 	if b.Leaving && m.leaveAt.IsZero() {
 		m.leaveAt = now
@@ -227,7 +226,9 @@
 	if err != nil || choice.Confirm || choice.Name != g.Primary {
 		return false
 	}
-	return db.silent(now)
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return now.Sub(db.heard) > silentAfter
 }
 
 // askReplicas asks every replica for its position and waits until one has
--- a/inst/leases.go
+++ b/inst/leases.go
@@ -40,28 +40,23 @@
 	key  memberKey
 	user entry.LeaseUser
 
-	mu      sync.Mutex
-	holder  *share.Holder
-	wanting time.Time // since when requests wait without any slot, or zero
-	unowned time.Time // when that was last found to be too long, or zero
-	timer   *time.Timer
-	ended   bool
+	mu     sync.Mutex
+	holder *share.Holder
+	heard  time.Time // last grant of any slot
+	timer  *time.Timer
+	ended  bool
 }
 
-const (
-	// unownedAfter is how long requests may wait without any slot before the
-	// backend server counts as without an owner. It is below the default queue
-	// wait, so that a request that came right after the loss of the owner is not
-	// refused first. Under contention slots rotate much faster.
-	unownedAfter = 400 * time.Millisecond
-	// unownedFor is how long that lasts without a new finding.
-	unownedFor = time.Second
-)
+// unownedAfter is how long this entry may be without any slot before requests
+// are told to wait for an owner. It is below the default queue wait, so that a
+// request that came right after the loss of the owner is not refused first.
+// Under contention slots rotate much faster.
+const unownedAfter = 400 * time.Millisecond
 
 // Join implements entry.Leases.
 func (l *leases) Join(database, member string, user entry.LeaseUser) entry.Lease {
-	k := &lease{l: l, key: memberKey{database, member}, user: user, holder: share.NewHolder(l.name, l.incarnation), unowned: time.Now()}
-	k.timer = time.AfterFunc(unownedFor, k.Changed) // a fresh lease counts as without an owner until then
+	k := &lease{l: l, key: memberKey{database, member}, user: user, holder: share.NewHolder(l.name, l.incarnation)}
+	k.timer = time.AfterFunc(time.Hour, k.Changed)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holders[k.key] = k
@@ -85,7 +80,7 @@
 // pump applies what may be used and sends what is due. What is given back is
 // taken from the queue before the owner hears of it. The caller holds mu.
 func (k *lease) pump(now time.Time) {
-	unowned := k.judge(now)
+	unowned := now.Sub(k.heard) > unownedAfter
 	if unowned {
 		k.user.Unowned(true)
 	}
@@ -102,28 +97,10 @@
 	k.arm(k.holder.Next(d, now), now)
 }
 
-// judge reports whether nobody seems to hand out slots of the backend server.
-func (k *lease) judge(now time.Time) bool {
-	switch {
-	case k.holder.Usable(now).Units > 0:
-		k.wanting, k.unowned = time.Time{}, time.Time{}
-	case k.user.Demand().Waiting.Units == 0:
-		k.wanting = time.Time{}
-	case k.wanting.IsZero():
-		k.wanting = now
-	case now.Sub(k.wanting) > unownedAfter:
-		k.unowned = now
-	}
-	return now.Sub(k.unowned) < unownedFor
-}
-
 func (k *lease) arm(next, now time.Time) {
 	if expires := k.holder.Expires(); expires.After(now) && (next.IsZero() || expires.Before(next)) {
 		next = expires
 	}
-	if end := k.unowned.Add(unownedFor); end.After(now) && (next.IsZero() || end.Before(next)) {
-		next = end
-	}
 	if !next.IsZero() {
 		k.timer.Reset(max(time.Millisecond, next.Sub(now)))
 	}
@@ -137,6 +114,9 @@
 	if k.ended || !k.holder.Receive(g, now) {
 		return
 	}
+	if g.Amount.Units > 0 {
+		k.heard = now
+	}
 	k.pump(now)
 }
 
