entry: a read refused by a member without an owner goes elsewhere

It is now sent to another member. What remains: such members stay without an owner until an entry of their zone is back.

go test ./cmds: red before, passes after.

--- a/entry/borrow.go
+++ b/entry/borrow.go
@@ -27,6 +27,8 @@
 	m.grow()
 	ticket, err := m.gate.enter(ctx, c.admission(req))
 	if err != nil {
+		req.unowned = m.gate.load().unowned
+		req.tried = append(req.tried, m.name)
 		return nil, err
 	}
 	l := &loan{member: m, ticket: ticket, since: time.Now()}
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -34,6 +34,7 @@
 	need        group.Position // position that the snapshot of a read must hold
 	term        uint64         // of the group at the last attempt
 	usual       time.Duration  // in which nearly all statements of this shape end, or 0
+	unowned     bool           // the last member had no owner to hand out its slots
 	attempts    int
 	tried       []string
 	latest      bool // the bound is the newest acknowledged write
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -118,12 +118,13 @@
 	slots   int
 	running int
 	waiting int
+	unowned bool // nobody seems to hand out slots
 }
 
 func (g *gate) load() gateLoad {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return gateLoad{slots: g.queue.Slots(), running: g.queue.Running(), waiting: g.queue.Waiting()}
+	return gateLoad{slots: g.queue.Slots(), running: g.queue.Running(), waiting: g.queue.Waiting(), unowned: g.unowned}
 }
 
 // drain refuses everything that waits.
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -30,7 +30,8 @@
 		req.primaryOnly = true
 		return true
 	}
-	if !repeatable(e.Reason()) {
+	elsewhere := e.Reason() == errs.ReasonQueueFull && req.unowned && !req.onPrimary()
+	if !repeatable(e.Reason()) && !elsewhere {
 		return false
 	}
 	if x != nil {
