One wait for a member to move, one reading of position and timeout

entry/route.go waited for movement in two places, and group_watch and group_applied of the emulated server read the same arguments. Behaviour is unchanged: the tests of both packages pass as they are.

--- a/emul/funcs.go
+++ b/emul/funcs.go
@@ -96,15 +96,7 @@
 // callWatch answers group_watch(after, timeout_ms). after is an offset or a
 // position.
 func (m *Member) callWatch(ctx context.Context, st callStmt, params []string) ([][]string, error) {
-	text, err := st.text(0, params)
-	if err != nil {
-		return nil, err
-	}
-	passed, err := passedBy(text)
-	if err != nil {
-		return nil, err
-	}
-	timeout, err := st.millis(1, params)
+	passed, timeout, err := st.after(params)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/route.go
+++ b/entry/route.go
@@ -200,7 +200,12 @@
 		return err
 	}
 	m.follow(choice.Need)
-	t := time.NewTimer(max(0, choice.Until.Sub(now)))
+	return awaitMoved(ctx, moved, choice.Until.Sub(now))
+}
+
+// awaitMoved waits until a member has applied more or the time has passed.
+func awaitMoved(ctx context.Context, moved <-chan struct{}, d time.Duration) error {
+	t := time.NewTimer(max(0, d))
 	defer t.Stop()
 	select {
 	case <-moved:
@@ -244,15 +249,7 @@
 			db.member(b).follow(need)
 		}
 	}
-	t := time.NewTimer(askLimit)
-	defer t.Stop()
-	select {
-	case <-moved:
-	case <-t.C:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	return nil
+	return awaitMoved(ctx, moved, askLimit)
 }
 
 func newRand(seed uint64, name string) *rand.Rand {
