The whole path on the users' platform: typed pipeline, control ledger, duty, adapter

Cause: the product served PostgreSQL callers only and had no way to run under the platform's settings, discovery, operator calls and promotion duty.

proxy holds the pipeline of typed statements with codecs above and below; roster the announced backend servers; ledger the configuration and promotion orders, applied by the same control log (ctrl takes a Ledger and open membership); duty the decisions on replacing a primary; mesh and host the runtime; platform/ names and formats alone.

Ruled out: a lease on who is primary. A member that opens a transaction for writes proves its role at that moment, so no clock is needed for it.

Before: nothing ran there.

--- a/cmds/run.go
+++ b/cmds/run.go
@@ -35,6 +35,7 @@
 		&measureCommand{},
 		&devCommand{},
 		&capacityCommand{},
+		&hostedCommand{},
 		&versionCommand{},
 	}
 }
--- a/ctrl/join.go
+++ b/ctrl/join.go
@@ -16,7 +16,7 @@
 // from the identities of all initial members; one whose identity is not among
 // them starts empty and waits to be added.
 func (n *Node) bootstrap(saved raft.Saved) (raft.Saved, error) {
-	for saved.Snapshot.Index == 0 && saved.Hard.Term == 0 && len(n.initial) > 0 {
+	for saved.Snapshot.Index == 0 && saved.Hard.Term == 0 && len(n.seeds()) > 0 {
 		members, known := n.greet(saved.Hard.ID)
 		if known {
 			if !members.Voter(saved.Hard.ID) {
@@ -37,7 +37,8 @@
 // greet asks the initial members who they are. It reports known once all are
 // known, or once one of them tells how the log was bootstrapped.
 func (n *Node) greet(self raft.ID) (members raft.Members, known bool) {
-	for _, addr := range n.initial {
+	seeds := n.seeds()
+	for _, addr := range seeds {
 		if addr == n.addr {
 			members = append(members, raft.Member{ID: self, Address: addr})
 			continue
@@ -53,7 +54,7 @@
 		members = append(members, raft.Member{ID: raft.ID(reply.GetId()), Address: addr})
 	}
 	slices.SortFunc(members, func(a, b raft.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return members, len(members) == len(n.initial)
+	return members, n.forms && len(members) == len(seeds) && slices.Contains(seeds, n.addr)
 }
 
 func (n *Node) hello(ctx context.Context, addr string) (*ctlpb.HelloReply, error) {
@@ -78,16 +79,13 @@
 // added it.
 func (n *Node) join() {
 	for n.ctx.Err() == nil {
-		if _, ok := n.Status().Members.Find(n.Identity()); ok {
+		st := n.Status()
+		_, member := st.Members.Find(n.Identity())
+		if member && !n.open {
 			return
 		}
-		for _, addr := range n.initial {
-			if addr == n.addr {
-				continue
-			}
-			if reply, err := n.hello(n.ctx, addr); err == nil {
-				n.learnContacts(reply)
-			}
+		if !member || st.Leader == 0 {
+			n.introduce()
 		}
 		select {
 		case <-n.ctx.Done():
@@ -96,6 +94,51 @@
 	}
 }
 
+// introduce asks the known members to add this one. A member that was removed
+// while it was cut off does not find that in its own log.
+func (n *Node) introduce() {
+	for _, addr := range n.addresses() {
+		if reply, err := n.hello(n.ctx, addr); err == nil {
+			n.learnContacts(reply)
+		}
+	}
+}
+
+// addresses returns where other members may be found.
+func (n *Node) addresses() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	add := func(addr string) {
+		if addr != n.addr && !slices.Contains(out, addr) {
+			out = append(out, addr)
+		}
+	}
+	for _, addr := range n.initial {
+		add(addr)
+	}
+	for _, m := range n.contacts {
+		add(m.Address)
+	}
+	for _, m := range n.status.Members {
+		add(m.Address)
+	}
+	return out
+}
+
+// Seek sets the addresses at which a member that joins looks for others.
+func (n *Node) Seek(addrs []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.initial = slices.Clone(addrs)
+}
+
+func (n *Node) seeds() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.initial
+}
+
 // learnContacts keeps the membership that another member named. A member whose
 // own log is still empty can answer the leader only at an address found there.
 func (n *Node) learnContacts(reply *ctlpb.HelloReply) {
@@ -121,7 +164,7 @@
 // members that remember the log never falls below what it was.
 func (n *Node) admit(id raft.ID, addr string, now time.Time) raft.Output {
 	st := n.core.Status(now)
-	if st.Role != raft.Leader || !slices.Contains(n.initial, addr) {
+	if st.Role != raft.Leader || !n.open && !slices.Contains(n.seeds(), addr) {
 		return raft.Output{}
 	}
 	if _, ok := st.Members.Find(id); ok {
@@ -147,7 +190,11 @@
 			return out
 		}
 	}
-	if old, ok := replaced(st); ok {
+	old, ok := replaced(st)
+	if !ok && n.open {
+		old, ok = n.surplus(st, now)
+	}
+	if ok {
 		_, out, err := n.core.ProposeChange(raft.Remove{ID: old}, now)
 		if err == nil {
 			n.log.Info().Str("member", old.String()).Msg("lost identity removed")
@@ -172,3 +219,30 @@
 	}
 	return 0, false
 }
+
+// removeAfter is how long a voter is silent before it may be removed: longer
+// than a restart, shorter than the time in which a second one may be lost.
+const removeAfter = 3 * time.Second
+
+// surplus returns a voter that has been silent for long, if without it the
+// number of voters is odd: the others then tolerate as many losses as before.
+// It joins again when it returns.
+func (n *Node) surplus(st raft.Status, now time.Time) (raft.ID, bool) {
+	voters := len(st.Members.Voters())
+	var worst raft.ID
+	for _, p := range st.Progress {
+		if p.Recent || p.Member.Learner {
+			delete(n.silent, p.Member.ID)
+			continue
+		}
+		since, known := n.silent[p.Member.ID]
+		if !known {
+			n.silent[p.Member.ID] = now
+			continue
+		}
+		if now.Sub(since) >= removeAfter && (worst == 0 || since.Before(n.silent[worst])) {
+			worst = p.Member.ID
+		}
+	}
+	return worst, worst != 0 && voters%2 == 0
+}
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -49,6 +49,10 @@
 	publish  func(state.Delta)
 	restore  func(*state.View)
 	leader   leaderFactory
+	now      func() time.Time
+	ledger   Ledger // replaces machine if set
+	open     bool   // members outside initial may join
+	forms    bool   // the initial members may bootstrap a new log
 
 	store   *store.Store
 	id      raft.ID // kept here because the loop writes the store
@@ -62,8 +66,11 @@
 	reads    map[uint64]chan raft.ReadResult
 	nextRead uint64
 	applied  uint64 // entries since the last snapshot
-	duties   duties
-	tidied   time.Time
+	// appliedIndex is the newest entry that the state holds.
+	appliedIndex raft.Index
+	duties       duties
+	tidied       time.Time
+	silent       map[raft.ID]time.Time // since when voters have been silent, at the leader
 
 	mu       sync.Mutex
 	status   raft.Status
@@ -86,10 +93,19 @@
 }
 
 type proposed struct {
-	result state.Result
+	result any
 	err    error
 }
 
+// Ledger is a state machine that takes the place of that of the fleet. The loop
+// of the member calls it; it guards itself against other readers.
+type Ledger interface {
+	// Apply carries out a committed command and returns its result.
+	Apply(index uint64, command []byte) any
+	Snapshot() []byte
+	Restore(data []byte) error
+}
+
 // duties is what a leader does besides the log. The loop calls it.
 type duties interface {
 	// Tick acts on the state as of now. It is called only while this member leads
@@ -131,6 +147,33 @@
 // WithRestore sets who hears when the state is replaced as a whole.
 func WithRestore(f func(*state.View)) Option { return func(n *Node) { n.restore = f } }
 
+// WithClock sets the clock. It must run on while the machine is suspended.
+func WithClock(now func() time.Time) Option { return func(n *Node) { n.now = now } }
+
+// WithLedger applies the log to l instead of the state machine of the fleet,
+// and leaves the duties of a leader to the caller.
+func WithLedger(l Ledger) Option {
+	return func(n *Node) {
+		n.ledger = l
+		n.leader = func(n *Node) duties { return upkeep{n} }
+	}
+}
+
+// WithOpenMembership lets every member that introduces itself join, and lets the
+// leader remove silent voters while that keeps the number of voters odd.
+func WithOpenMembership() Option { return func(n *Node) { n.open = true } }
+
+// WithoutForming keeps a member with an empty data folder from bootstrapping a
+// new log: it waits until the members of the existing one add it.
+func WithoutForming() Option { return func(n *Node) { n.forms = false } }
+
+// upkeep is the duty of a leader towards the log itself.
+type upkeep struct{ n *Node }
+
+func (u upkeep) Tick(now time.Time)           { u.n.tidySoon(now) }
+func (u upkeep) Reset()                       { clear(u.n.silent) }
+func (u upkeep) Next(now time.Time) time.Time { return now.Add(joinInterval) }
+
 // Open opens the data folder and starts the member. addr is the address under
 // which the other instances reach it.
 func Open(folder, addr string, opts ...Option) (*Node, error) {
@@ -140,6 +183,9 @@
 		publish: func(state.Delta) {},
 		restore: func(*state.View) {},
 		leader:  newPromoter,
+		now:     time.Now,
+		forms:   true,
+		silent:  make(map[raft.ID]time.Time),
 		machine: state.New(),
 		inbox:   make(chan event, inboxLen),
 		waiting: make(map[raft.Index]waiter),
@@ -204,7 +250,7 @@
 	if err != nil || n.ctx.Err() != nil {
 		return err
 	}
-	if n.core, err = raft.New(saved, time.Now()); err != nil {
+	if n.core, err = raft.New(saved, n.now()); err != nil {
 		return err
 	}
 	if err := n.resume(saved); err != nil {
@@ -221,7 +267,16 @@
 	if len(saved.Snapshot.Data) == 0 {
 		return nil
 	}
-	if err := n.machine.Restore(saved.Snapshot.Data); err != nil {
+	return n.adopt(saved.Snapshot)
+}
+
+// adopt replaces the state by that of a snapshot.
+func (n *Node) adopt(snap raft.Snapshot) error {
+	n.appliedIndex = snap.Index
+	if n.ledger != nil {
+		return eris.Wrap(n.ledger.Restore(snap.Data), "snapshot")
+	}
+	if err := n.machine.Restore(snap.Data); err != nil {
 		return eris.Wrap(err, "snapshot")
 	}
 	n.restore(n.machine.View())
@@ -237,12 +292,12 @@
 		case <-n.ctx.Done():
 			return nil
 		case ev := <-n.inbox:
-			now = time.Now()
+			now = n.now()
 			if err := n.handle(n.batch(ev, now), now); err != nil {
 				return err
 			}
 		case <-timer.C:
-			now = time.Now()
+			now = n.now()
 			if err := n.handle([]raft.Output{n.core.Tick(now)}, now); err != nil {
 				return err
 			}
@@ -295,10 +350,9 @@
 // apply carries out what was committed and answers those who wait for it.
 func (n *Node) apply(out raft.Output) error {
 	if out.Restore != nil {
-		if err := n.machine.Restore(out.Restore.Data); err != nil {
-			return eris.Wrap(err, "snapshot of the leader")
+		if err := n.adopt(*out.Restore); err != nil {
+			return err
 		}
-		n.restore(n.machine.View())
 	}
 	for _, e := range out.Committed {
 		if err := n.applyEntry(e); err != nil {
@@ -316,17 +370,14 @@
 
 func (n *Node) applyEntry(e raft.Entry) error {
 	n.applied++
+	n.appliedIndex = e.Index
 	var p proposed
 	if e.Kind == raft.KindData {
-		cmd, err := state.DecodeCommand(e.Data)
+		result, err := n.applyData(e)
 		if err != nil {
 			return eris.Wrapf(err, "entry %d", e.Index)
 		}
-		out := n.machine.Apply(state.Stamp{Term: uint64(e.Term), Index: uint64(e.Index)}, cmd)
-		p.result = out.Result
-		if len(out.Delta.Changes) > 0 {
-			n.publish(out.Delta)
-		}
+		p.result = result
 	}
 	w, ok := n.waiting[e.Index]
 	if !ok {
@@ -340,6 +391,21 @@
 	return nil
 }
 
+func (n *Node) applyData(e raft.Entry) (any, error) {
+	if n.ledger != nil {
+		return n.ledger.Apply(uint64(e.Index), e.Data), nil
+	}
+	cmd, err := state.DecodeCommand(e.Data)
+	if err != nil {
+		return nil, err
+	}
+	out := n.machine.Apply(state.Stamp{Term: uint64(e.Term), Index: uint64(e.Index)}, cmd)
+	if len(out.Delta.Changes) > 0 {
+		n.publish(out.Delta)
+	}
+	return out.Result, nil
+}
+
 // publishStatus makes the status readable and fails the proposals of a lost
 // leadership: whether they will be committed is not known here.
 func (n *Node) publishStatus(now time.Time) {
@@ -367,8 +433,13 @@
 		return nil
 	}
 	n.applied = 0
-	index := raft.Index(n.machine.Applied().Index)
-	out, err := n.core.Compact(index, n.machine.Snapshot(), now)
+	index, data := n.appliedIndex, []byte(nil)
+	if n.ledger != nil {
+		data = n.ledger.Snapshot()
+	} else {
+		index, data = raft.Index(n.machine.Applied().Index), n.machine.Snapshot()
+	}
+	out, err := n.core.Compact(index, data, now)
 	if err != nil {
 		n.log.Warn().Err(err).Msg("snapshot was not taken")
 		return nil
@@ -399,7 +470,7 @@
 	if next.IsZero() {
 		return maxTimer
 	}
-	return max(time.Millisecond, time.Until(next))
+	return max(time.Millisecond, next.Sub(n.now()))
 }
 
 // post hands an event to the loop.
@@ -421,11 +492,23 @@
 	if err != nil {
 		return nil, err
 	}
+	result, err := n.ProposeData(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	r, ok := result.(state.Result)
+	if !ok {
+		return nil, eris.Errorf("command ended without a result: %v", result)
+	}
+	return r, nil
+}
+
+// ProposeData submits an encoded command, with the errors of Propose.
+func (n *Node) ProposeData(ctx context.Context, data []byte) (any, error) {
 	ctx, stop := context.WithTimeout(ctx, proposeLimit)
 	defer stop()
 	w := waiter{done: make(chan proposed, 1)}
-	err = n.post(ctx, func(now time.Time) raft.Output { return n.propose(data, w, now) })
-	if err != nil {
+	if err := n.post(ctx, func(now time.Time) raft.Output { return n.propose(data, w, now) }); err != nil {
 		return nil, ErrNotLeader
 	}
 	select {
--- a/ctrl/wires.go
+++ b/ctrl/wires.go
@@ -42,7 +42,7 @@
 	if len(msgs) == 0 {
 		return
 	}
-	members := w.n.core.Status(time.Now()).Members
+	members := w.n.core.Status(w.n.now()).Members
 	for _, m := range msgs {
 		to := m.Head().To
 		member, ok := members.Find(to)
--- /dev/null
+++ b/host/entry.go
@@ -0,0 +1,158 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tamarackcross/mesh"
+	"tamarackcross/proxy"
+	"tamarackcross/roster"
+	"tamarackcross/stats"
+)
+
+// EntryParts is what the entry role is built from.
+type EntryParts struct {
+	Dialer proxy.Dialer
+	Open   func(net.Conn) proxy.Caller
+	Ready  func(ready func() bool) http.Handler
+	Decode DecodeFunc
+	Now    func() time.Time
+	Log    zerolog.Logger
+	Stats  *stats.Registry
+	Seed   uint64
+}
+
+// Entry is the entry role of one instance.
+type Entry struct {
+	settings Settings
+	parts    EntryParts
+	roster   *roster.Table
+	server   *proxy.Server
+	links    *links
+	callers  net.Listener
+	probe    *http.Server
+	leaving  atomic.Bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	ended  chan error // receives the end of each server
+}
+
+// filesPerSession is the file descriptors that a session may take: its own and
+// one to a backend server.
+const filesPerSession = 1.2
+
+// StartEntry starts the entry role.
+func StartEntry(s Settings, p EntryParts) (*Entry, error) {
+	e := &Entry{settings: s, parts: p, roster: roster.New(), ended: make(chan error, 2)}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	opts := []proxy.Option{
+		proxy.WithZone(s.Zone), proxy.WithClock(p.Now), proxy.WithLog(p.Log), proxy.WithStats(p.Stats), proxy.WithSeed(p.Seed),
+	}
+	if s.MaxFiles > 0 {
+		opts = append(opts, proxy.WithMaxSessions(int(float64(s.MaxFiles)/filesPerSession)))
+	}
+	l, err := mesh.Listen(e.ctx, s.Callers)
+	if err != nil {
+		return nil, err
+	}
+	pl, err := mesh.Listen(e.ctx, s.Ready)
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	e.callers = l
+	e.server = proxy.New(p.Dialer, e.roster, opts...)
+	e.links = newLinks("", p.Now, p.Log)
+	e.links.request, e.links.accept = e.request, e.accept
+	e.links.seek(e.ctx, s.Seeds)
+	e.probe = &http.Server{Handler: p.Ready(e.Ready), ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
+	go func() { e.ended <- e.server.Serve(e.ctx, l, p.Open) }()
+	go func() { e.ended <- serveHTTP(e.probe, pl) }()
+	return e, nil
+}
+
+const (
+	headerLimit = 3 * time.Second
+	idleLimit   = 15 * time.Second
+)
+
+func serveHTTP(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Ended receives the end of a server of the role, with its error.
+func (e *Entry) Ended() <-chan error { return e.ended }
+
+// Ready reports whether the instance takes new callers.
+func (e *Entry) Ready() bool { return e.server.Configured() && !e.leaving.Load() }
+
+// Reload takes in new settings.
+func (e *Entry) Reload(s Settings) { e.links.seek(e.ctx, s.Seeds) }
+
+// request tells control what this instance has.
+func (e *Entry) request() mesh.SyncRequest {
+	in := mesh.SyncRequest{Name: e.settings.Name, Zone: e.settings.Zone, Serves: true, Config: e.server.Version()}
+	for _, t := range e.server.Troubles() {
+		in.Troubles = append(in.Troubles, mesh.Observation(t))
+	}
+	return in
+}
+
+// accept takes in what control knows.
+func (e *Entry) accept(r *mesh.SyncReply) {
+	now := e.parts.Now()
+	for _, entry := range r.Entries {
+		e.roster.Put(entry, now)
+	}
+	if r.Instances > 0 {
+		e.server.SetInstances(r.Instances)
+	}
+	if r.Version <= e.server.Version() {
+		return
+	}
+	doc, err := e.parts.Decode(r.Config)
+	if err != nil {
+		e.parts.Log.Error().Err(err).Uint64("version", r.Version).Msg("stored configuration cannot be read")
+		return
+	}
+	e.server.Configure(doc)
+}
+
+const (
+	// unreadyFor is how long new callers may still come after the probe fails: two
+	// probes, a second apart.
+	unreadyFor = 2200 * time.Millisecond
+	// stopMargin is left for the end of the process.
+	stopMargin = 500 * time.Millisecond
+)
+
+// Shutdown stops taking callers, lets requests and transactions end, and returns
+// within the grace time. Transactions have the first half of it.
+func (e *Entry) Shutdown() {
+	e.leaving.Store(true)
+	grace := e.settings.Grace
+	wait := min(unreadyFor, grace/2)
+	time.Sleep(wait)
+	ctx, stop := context.WithTimeout(context.Background(), max(0, grace-wait-stopMargin))
+	defer stop()
+	e.server.Drain(ctx, max(0, grace/2-wait))
+	e.Close()
+}
+
+// Close stops the role at once.
+func (e *Entry) Close() {
+	e.cancel()
+	_ = e.callers.Close()
+	_ = e.probe.Close()
+	e.links.close()
+	e.server.Close()
+}
--- /dev/null
+++ b/proxy/lane.go
@@ -0,0 +1,112 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tamarackcross/admit"
+	"tamarackcross/errs"
+)
+
+// lane lets requests borrow connections of one backend server, at most as many
+// at a time as this instance may hold.
+type lane struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	queue   *admit.Queue
+	nextID  uint64
+	waiting map[uint64]chan admit.Decision
+}
+
+func newLane(slots int, now func() time.Time) *lane {
+	return &lane{
+		now:     now,
+		queue:   admit.New(admit.WithSlots(slots)),
+		waiting: make(map[uint64]chan admit.Decision),
+	}
+}
+
+// ticket is the right to hold one connection.
+type ticket struct {
+	id    uint64
+	start time.Time
+}
+
+// enter waits for a ticket until the latest time at which the request may start.
+func (l *lane) enter(ctx context.Context, caller string, latest time.Time, expected time.Duration) (ticket, error) {
+	now := l.now()
+	ch := make(chan admit.Decision, 1)
+	l.mu.Lock()
+	l.nextID++
+	id := l.nextID
+	l.waiting[id] = ch
+	l.deliver(l.queue.Offer(admit.Request{
+		ID: id, Caller: caller, Class: admit.Short, Arrived: now, Deadline: latest, Expected: expected,
+	}, now))
+	l.mu.Unlock()
+	timer := time.NewTimer(latest.Sub(now))
+	defer timer.Stop()
+	for {
+		select {
+		case d := <-ch:
+			switch d := d.(type) {
+			case admit.Start:
+				return ticket{id: id, start: l.now()}, nil
+			case admit.Refuse:
+				return ticket{}, errs.New(errs.NotRun, d.Reason, "no connection is free", errs.WithRetryAfter(d.RetryAfter))
+			}
+		case <-timer.C:
+			l.cancel(id)
+		case <-ctx.Done():
+			l.cancel(id)
+		}
+	}
+}
+
+// cancel ends a wait. The decision comes on the channel of the request.
+func (l *lane) cancel(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deliver(l.queue.Cancel(id, l.now()))
+}
+
+// leave gives a ticket back.
+func (l *lane) leave(t ticket) {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deliver(l.queue.Done(t.id, now.Sub(t.start), now))
+}
+
+func (l *lane) resize(slots int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.queue.Slots() != slots {
+		l.deliver(l.queue.Resize(slots, l.now()))
+	}
+}
+
+// load is the running and waiting requests relative to the slots.
+func (l *lane) load() (inUse, slots int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Running() + l.queue.Waiting(), l.queue.Slots()
+}
+
+func (l *lane) deliver(ds []admit.Decision) {
+	for _, d := range ds {
+		var id uint64
+		switch d := d.(type) {
+		case admit.Start:
+			id = d.ID
+		case admit.Refuse:
+			id = d.ID
+		}
+		if ch := l.waiting[id]; ch != nil {
+			delete(l.waiting, id)
+			ch <- d
+		}
+	}
+}
--- /dev/null
+++ b/proxy/member.go
@@ -0,0 +1,235 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"tamarackcross/errs"
+	"tamarackcross/group"
+	"tamarackcross/roster"
+)
+
+const (
+	// dialLimit bounds the opening of a connection: a new one takes 12 ms at the
+	// users' backend servers, more under load.
+	dialLimit = 400 * time.Millisecond
+	// idleLimit is how long a connection may stay unused: half of the 60 s after
+	// which the users' backend servers close it.
+	idleLimit = 30 * time.Second
+	// firstLag is assumed of a replica before anything is known.
+	firstLag = 200 * time.Millisecond
+	// lagMargin is added to the lag that was seen, since it is a lower bound.
+	lagMargin = 30 * time.Millisecond
+)
+
+// backendConn is a pooled connection with the session state that it carries.
+type backendConn struct {
+	Conn
+	member   *member
+	ticket   ticket
+	values   map[string]string
+	prepared map[string]Shape
+	used     time.Time
+	dirty    bool // session values may differ from those recorded
+}
+
+// member is one start of a backend server as this instance sees it.
+type member struct {
+	dialer  Dialer
+	target  Target
+	start   roster.Start
+	now     func() time.Time
+	lane    *lane
+	prober  *prober
+	observe func(*member, group.Position)
+	closeIt context.CancelFunc
+	ctx     context.Context
+
+	mu        sync.Mutex
+	entry     roster.Entry
+	idle      []*backendConn
+	lag       time.Duration // how far behind the primary it was at lagAt
+	lagAt     time.Time
+	failing   time.Time // first probe without an answer since the last one with, or zero
+	drainedAt time.Time // when it was first known to leave
+}
+
+func newMember(ctx context.Context, d Dialer, e roster.Entry, slots int, now func() time.Time) *member {
+	ctx, cancel := context.WithCancel(ctx)
+	m := &member{
+		dialer: d, target: Target{Addr: e.Addr, Service: e.Service, ID: e.ID}, start: e.Start(),
+		now: now, lane: newLane(slots, now), ctx: ctx, closeIt: cancel, lag: firstLag, lagAt: now(),
+	}
+	m.update(e, now())
+	return m
+}
+
+// newProbedMember returns a member that is probed until it is closed.
+func (v *service) newProbedMember(e roster.Entry, slots int) *member {
+	m := newMember(v.ctx, v.srv.dialer, e, slots, v.srv.now)
+	m.observe = v.observe
+	m.prober = newProber(v, m)
+	return m
+}
+
+// update takes in what the server announced.
+func (m *member) update(e roster.Entry, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e.State == roster.Draining && m.drainedAt.IsZero() {
+		m.drainedAt = now
+	}
+	m.entry = e
+}
+
+func (m *member) snapshot() roster.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entry
+}
+
+// borrow returns a connection, at the latest at latest.
+func (m *member) borrow(ctx context.Context, caller string, latest time.Time, expected time.Duration) (*backendConn, error) {
+	t, err := m.lane.enter(ctx, caller, latest, expected)
+	if err != nil {
+		return nil, err
+	}
+	if c := m.reuse(); c != nil {
+		c.ticket = t
+		return c, nil
+	}
+	c, err := m.dial(ctx)
+	if err != nil {
+		m.lane.leave(t)
+		return nil, err
+	}
+	c.ticket = t
+	return c, nil
+}
+
+// reuse returns the connection that was used last, so that the others can age.
+func (m *member) reuse() *backendConn {
+	for {
+		m.mu.Lock()
+		n := len(m.idle)
+		if n == 0 {
+			m.mu.Unlock()
+			return nil
+		}
+		c := m.idle[n-1]
+		m.idle = m.idle[:n-1]
+		m.mu.Unlock()
+		if c.Alive() {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+func (m *member) dial(ctx context.Context) (*backendConn, error) {
+	ctx, stop := context.WithTimeout(ctx, dialLimit)
+	defer stop()
+	conn, err := m.dialer.Dial(ctx, m.target)
+	if err != nil {
+		var f *Fault
+		if errors.As(err, &f) {
+			return nil, err
+		}
+		return nil, errs.New(errs.NotRun, errs.ReasonConnect, err.Error())
+	}
+	m.observe(m, conn.Position())
+	return &backendConn{Conn: conn, member: m, values: map[string]string{}, prepared: map[string]Shape{}}, nil
+}
+
+// put hands a connection back. One whose state is unknown is closed.
+func (m *member) put(c *backendConn, clean bool) {
+	now := m.now()
+	c.used = now
+	m.mu.Lock()
+	keep := clean && m.ctx.Err() == nil
+	if keep {
+		m.idle = append(m.idle, c)
+	}
+	m.mu.Unlock()
+	if !keep {
+		_ = c.Close()
+	}
+	m.lane.leave(c.ticket)
+}
+
+// trim closes connections that have not been used for long.
+func (m *member) trim(now time.Time) {
+	m.mu.Lock()
+	var old []*backendConn
+	m.idle = slices.DeleteFunc(m.idle, func(c *backendConn) bool {
+		if now.Sub(c.used) < idleLimit {
+			return false
+		}
+		old = append(old, c)
+		return true
+	})
+	m.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+// close ends the use of the server. Connections that are borrowed end when they
+// are handed back.
+func (m *member) close() {
+	m.closeIt()
+	<-m.prober.done
+	m.mu.Lock()
+	idle := m.idle
+	m.idle = nil
+	m.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// exec runs commands on a connection and records what the answers show.
+func (c *backendConn) exec(limit time.Duration, cmds ...Command) ([]Answer, error) {
+	out, err := c.Conn.Exec(limit, cmds...)
+	if err == nil {
+		c.member.observe(c.member, c.Position())
+	}
+	return out, err
+}
+
+// failingFor returns how long the server has not answered, or 0.
+func (m *member) failingFor(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing.IsZero() {
+		return 0
+	}
+	return max(now.Sub(m.failing), 1)
+}
+
+// setLag records how far behind the primary the server is.
+func (m *member) setLag(lag time.Duration, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lag, m.lagAt = lag+lagMargin, now
+}
+
+// lacked records that the log did not hold what the primary had at at.
+func (m *member) lacked(at time.Time) {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if behind := now.Sub(at); behind >= m.lag {
+		m.lag, m.lagAt = behind+lagMargin, now
+	}
+}
+
+// estimatedLag returns how far the server is believed to be behind.
+func (m *member) estimatedLag() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lag
+}
--- /dev/null
+++ b/proxy/service.go
@@ -0,0 +1,288 @@
+package proxy
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tamarackcross/config"
+	"tamarackcross/group"
+	"tamarackcross/retry"
+	"tamarackcross/roster"
+	"tamarackcross/route"
+)
+
+const (
+	// overflowWait is how much longer the queue of a replica may be before the
+	// primary takes a read: about one statement of the users' workloads.
+	overflowWait = 20 * time.Millisecond
+	// primaryPenalty is the cost of a read at the primary, whose slots writes need.
+	primaryPenalty = 20 * time.Millisecond
+	// leaveGrace is how long a primary that is leaving still receives work while
+	// its successor is chosen. It ends before the 7 s that the users allow.
+	leaveGrace = 5 * time.Second
+	// reservedConns of each backend server are left to control.
+	reservedConns = 3
+	// spareConns is what an instance may hold beyond its equal part, since demand
+	// is never equal.
+	spareConns = 2
+)
+
+// service is what an instance knows about one group of backend servers.
+type service struct {
+	srv    *Server
+	name   string
+	ctx    context.Context
+	log    zerolog.Logger
+	policy *route.Policy
+
+	mu       sync.Mutex
+	members  map[string]*member
+	samples  route.Samples
+	sampled  []timedPosition // the same samples with their times
+	waiting  map[*proofWaiter]struct{}
+	breakers *retry.Group
+	rnd      *rand.Rand
+	primary  string // the member that last proved to be the primary
+	maxTerm  uint64
+	history  group.History
+}
+
+// timedPosition is a position that covers all commits acknowledged before at.
+type timedPosition struct {
+	at       time.Time
+	position group.Position
+}
+
+func newService(ctx context.Context, s *Server, name string) *service {
+	v := &service{
+		srv: s, name: name, ctx: ctx, log: s.log.With().Str("service", name).Logger(),
+		policy: route.New(
+			route.WithOverflow(overflowWait), route.WithPenalty(primaryPenalty), route.WithLeaveGrace(leaveGrace),
+		),
+		members:  make(map[string]*member),
+		waiting:  make(map[*proofWaiter]struct{}),
+		breakers: retry.NewGroup(s.seed),
+		rnd:      rand.New(rand.NewPCG(s.seed, uint64(len(name)))),
+	}
+	v.raiseTerm(1)
+	return v
+}
+
+// refresh takes in the members as the roster lists them.
+func (v *service) refresh(entries []roster.Entry, slots int, now time.Time) {
+	for _, m := range v.relist(entries, slots, now) {
+		m.close()
+	}
+}
+
+// relist updates the members and returns those that are no longer used.
+func (v *service) relist(entries []roster.Entry, slots int, now time.Time) (closing []*member) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		m := v.members[e.ID]
+		if m != nil && m.start == e.Start() && m.target.Addr == e.Addr {
+			m.update(e, now)
+		} else {
+			if m != nil {
+				closing = append(closing, m)
+			}
+			m = v.newProbedMember(e, slots)
+			v.members[e.ID] = m
+			m.prober.start()
+		}
+		m.lane.resize(slots)
+	}
+	for id, m := range v.members {
+		if !listed[id] {
+			closing = append(closing, m)
+			delete(v.members, id)
+		}
+	}
+	names := make([]string, 0, len(v.members))
+	for id := range v.members {
+		names = append(names, id)
+	}
+	slices.Sort(names)
+	v.breakers.SetMembers(names)
+	v.kickLocked()
+	return closing
+}
+
+// shareOf returns how many connections of a backend server this instance may
+// hold while n instances share them.
+func shareOf(cfg config.Service, n int) int {
+	if cfg.MaxConns <= 0 {
+		return 4
+	}
+	return max(2, (cfg.MaxConns-reservedConns)/max(1, n)+spareConns)
+}
+
+// maxTermStep bounds the history against a position that makes no sense.
+const maxTermStep = 4096
+
+// raiseTerm extends the history by terms that positions named. The log of the
+// backend servers continues its numbers from term to term, and a position that
+// was rolled back is refused by the server that lacks it.
+func (v *service) raiseTerm(term uint64) {
+	if term <= v.maxTerm || term > v.maxTerm+maxTermStep {
+		return
+	}
+	starts := v.history.Starts()
+	for t := v.maxTerm; t <= term; t++ {
+		if n := len(starts); n == 0 || starts[n-1].Term < t {
+			starts = append(starts, group.Start{Term: t, Offset: math.MaxUint64})
+		}
+	}
+	h, err := group.NewHistory(starts...)
+	if err != nil {
+		v.log.Error().Err(err).Uint64("term", term).Msg("history of terms cannot be extended")
+		return
+	}
+	v.history, v.maxTerm = h, term
+}
+
+// maxSampled is how many samples are kept with their times.
+const maxSampled = 256
+
+// sample keeps a position of the primary, with the history at hand.
+func (v *service) sample(p timedPosition) {
+	v.samples.Add(p.at, p.position)
+	if n := len(v.sampled); n > 0 && !p.at.After(v.sampled[n-1].at) {
+		return
+	}
+	v.sampled = append(v.sampled, p)
+	if len(v.sampled) > maxSampled {
+		v.sampled = slices.Delete(v.sampled, 0, maxSampled/2)
+	}
+}
+
+// primaryMember returns the member that last proved to be the primary, or nil.
+func (v *service) primaryMember() *member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.members[v.primary]
+}
+
+func (v *service) member(id string) *member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.members[id]
+}
+
+// need is what the log must hold for a read: a position, and a time at which the
+// primary held it.
+type need struct {
+	timedPosition
+	known bool
+}
+
+// needFor returns the oldest position that covers all commits acknowledged
+// before since, raised to the newest commit of the session.
+func (v *service) needFor(since time.Time, own timedPosition) need {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.sampled {
+		if s.at.Before(since) {
+			continue
+		}
+		if s.position.Less(own.position) {
+			return need{timedPosition: own, known: true}
+		}
+		return need{timedPosition: s, known: true}
+	}
+	return need{}
+}
+
+// pick chooses the member for a read that needs n. Members whose estimated lag
+// is below the age of n are expected to hold it.
+func (v *service) pick(q route.Query, n need, now time.Time) route.Choice {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.raiseTerm(n.position.Term)
+	g := route.Group{Term: v.maxTerm, History: v.history, Primary: v.primary, Samples: &v.samples}
+	for _, m := range v.members {
+		g.Members = append(g.Members, v.describe(m, n, now))
+	}
+	slices.SortFunc(g.Members, func(a, b route.Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	if n.known {
+		q.Bound = group.SessionBound{Position: n.position}
+	} else {
+		q.Bound = group.LatestBound{}
+	}
+	return v.policy.Pick(q, g, now, v.rnd)
+}
+
+// describe renders a member for the routing decision.
+func (v *service) describe(m *member, n need, now time.Time) route.Member {
+	e := m.snapshot()
+	inUse, _ := m.lane.load()
+	lag := m.estimatedLag()
+	out := route.Member{
+		Name: e.ID, Zone: e.Zone, Primary: e.Primary && e.ID != v.primary,
+		Lag: lag, AsOf: now, Load: float64(inUse) / float64(max(1, e.Slots)),
+		Open:    !v.breakers.Usable(e.ID, now) || m.failingFor(now) > 0,
+		Leaving: e.State == roster.Draining, Weight: v.breakers.Weight(e.ID, now),
+	}
+	if out.Leaving {
+		m.mu.Lock()
+		out.LeaveAt = m.drainedAt
+		m.mu.Unlock()
+	}
+	if n.known && now.Sub(n.at) >= lag {
+		out.Applied = n.position
+	}
+	return out
+}
+
+// Trouble is a backend server that does not answer this instance.
+type Trouble struct {
+	Service string
+	ID      string
+	For     time.Duration
+}
+
+// troubles lists the members that fail.
+func (v *service) troubles(now time.Time) []Trouble {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []Trouble
+	for id, m := range v.members {
+		if d := m.failingFor(now); d > 0 {
+			out = append(out, Trouble{Service: v.name, ID: id, For: d})
+		}
+	}
+	return out
+}
+
+// upkeep trims the pools.
+func (v *service) upkeep(now time.Time) {
+	v.mu.Lock()
+	members := make([]*member, 0, len(v.members))
+	for _, m := range v.members {
+		members = append(members, m)
+	}
+	v.mu.Unlock()
+	for _, m := range members {
+		m.trim(now)
+	}
+}
+
+func (v *service) close() {
+	for _, m := range v.relist(nil, 0, v.srv.now()) {
+		m.close()
+	}
+}
