--- /dev/null
+++ b/duty/duty_test.go
@@ -0,0 +1,143 @@
+package duty_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rotisserie/eris"
+
+	"tamarackcross/duty"
+	"tamarackcross/group"
+)
+
+// TestSupervisor plays scripts of events and shows the actions that they lead to.
+func TestSupervisor(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		start := time.Unix(1000, 0)
+		now := start
+		s := duty.New(now)
+		var look duty.Look
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			step := func(e duty.Event) {
+				for _, a := range s.Step(e, now) {
+					fmt.Fprintf(&out, "%d ms: %s\n", now.Sub(start).Milliseconds(), describe(a))
+				}
+			}
+			switch d.Cmd {
+			case "members":
+				look = parseLook(t, d)
+			case "wait":
+				// The view is shown every 50 ms, as the controller does.
+				for n := number(t, d.CmdArgs[0].Key); n > 0; n -= 50 {
+					now = now.Add(50 * time.Millisecond)
+					step(look)
+				}
+			case "status":
+				for line := range strings.SplitSeq(d.Input, "\n") {
+					step(parseStatus(t, line))
+				}
+			case "issued":
+				step(duty.Issued{Target: d.CmdArgs[0].Key, Token: uint64(number(t, d.CmdArgs[1].Key))})
+			case "called":
+				c := duty.Called{Target: d.CmdArgs[0].Key}
+				switch d.CmdArgs[1].Key {
+				case "lost":
+					c.Err = eris.New("no answer")
+				case "outdated":
+					c.Err, c.Outdated = eris.New("refused"), true
+				}
+				step(c)
+			default:
+				d.Fatalf(t, "unknown command %s", d.Cmd)
+			}
+			if out.Len() == 0 {
+				return "nothing"
+			}
+			return out.String()
+		})
+	})
+}
+
+func describe(a duty.Action) string {
+	switch a := a.(type) {
+	case duty.AskStatus:
+		return "ask " + a.ID
+	case duty.StepDown:
+		return fmt.Sprintf("step down %s below term %d", a.ID, a.Term)
+	case duty.IssueToken:
+		return "issue token for " + a.Target
+	case duty.Promote:
+		return fmt.Sprintf("promote %s with token %d", a.Target, a.Token)
+	case duty.Note:
+		return fmt.Sprintf("note %q %s", a.Text, a.Member)
+	default:
+		return fmt.Sprintf("%T", a)
+	}
+}
+
+// parseLook reads lines such as "m1 primary draining failing=2".
+func parseLook(t *testing.T, d *datadriven.TestData) duty.Look {
+	t.Helper()
+	look := duty.Look{}
+	d.ScanArgs(t, "instances", &look.Instances)
+	if d.HasArg("sync") {
+		d.ScanArgs(t, "sync", &look.Sync)
+	}
+	for line := range strings.SplitSeq(d.Input, "\n") {
+		f := strings.Fields(line)
+		m := duty.Member{ID: f[0]}
+		for _, word := range f[1:] {
+			switch {
+			case word == "primary":
+				m.Primary = true
+			case word == "draining":
+				m.Draining = true
+			case strings.HasPrefix(word, "failing="):
+				m.Failing = number(t, strings.TrimPrefix(word, "failing="))
+			}
+		}
+		look.Members = append(look.Members, m)
+	}
+	return look
+}
+
+// parseStatus reads "m1 primary term=2 received=2/17", "m1 busy" or "m1 silent".
+func parseStatus(t *testing.T, line string) duty.Status {
+	t.Helper()
+	f := strings.Fields(line)
+	st := duty.Status{ID: f[0]}
+	for _, word := range f[1:] {
+		key, value, _ := strings.Cut(word, "=")
+		switch key {
+		case "primary":
+			st.Primary = true
+		case "busy":
+			st.Busy, st.Err = true, eris.New("busy")
+		case "silent":
+			st.Err = eris.New("no answer")
+		case "term":
+			st.Term = uint64(number(t, value))
+		case "received":
+			p, err := group.ParsePosition(value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			st.Received = p
+		}
+	}
+	return st
+}
+
+func number(t *testing.T, text string) int {
+	t.Helper()
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
--- /dev/null
+++ b/proxy/group_test.go
@@ -0,0 +1,204 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"tamarackcross/group"
+	"tamarackcross/proxy"
+)
+
+// fakeGroup is a stand-in for the backend servers of one service. Commits reach
+// the replicas when the script says so.
+type fakeGroup struct {
+	mu      sync.Mutex
+	members map[string]*fakeMember // by address, which is the name
+	term    uint64
+}
+
+type fakeMember struct {
+	group   *fakeGroup
+	id      string
+	primary bool
+	held    group.Position
+	runs    []string
+	conns   int
+	// faults to come: statements whose answer is lost, connections that fail
+	// before anything is sent, statements that are shed, and a server that is dark.
+	lose, cut, busy int
+	dark            bool
+}
+
+// Dial opens a connection.
+func (g *fakeGroup) Dial(_ context.Context, t proxy.Target) (proxy.Conn, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[t.Addr]
+	switch {
+	case m == nil || m.dark:
+		return nil, os.ErrDeadlineExceeded
+	case m.id != t.ID:
+		return nil, &proxy.Fault{Code: proxy.Moved, Text: m.id}
+	}
+	m.conns++
+	return &fakeConn{m: m, values: map[string]string{}, shapes: map[string]proxy.Shape{}, position: m.held}, nil
+}
+
+// promote makes id the primary of the next term with what it holds.
+func (g *fakeGroup) promote(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.term++
+	for _, m := range g.members {
+		m.primary = m.id == id
+	}
+}
+
+// replicate brings every replica up to the primary.
+func (g *fakeGroup) replicate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var top group.Position
+	for _, m := range g.members {
+		if m.primary {
+			top = m.held
+		}
+	}
+	for _, m := range g.members {
+		m.held = top
+	}
+}
+
+type fakeConn struct {
+	m        *fakeMember
+	values   map[string]string
+	shapes   map[string]proxy.Shape
+	inTx     bool
+	readOnly bool
+	wrote    bool
+	broken   bool
+	closed   bool
+	position group.Position
+}
+
+func (c *fakeConn) Position() group.Position { return c.position }
+func (c *fakeConn) Alive() bool              { return !c.broken && !c.closed }
+
+func (c *fakeConn) Close() error {
+	c.closed = true
+	return nil
+}
+
+// Exec runs commands in order.
+func (c *fakeConn) Exec(_ time.Duration, cmds ...proxy.Command) ([]proxy.Answer, error) {
+	g := c.m.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.closed || c.broken {
+		return nil, proxy.ErrNotSent
+	}
+	if c.m.dark {
+		c.broken = true
+		return nil, os.ErrDeadlineExceeded
+	}
+	out := make([]proxy.Answer, len(cmds))
+	for i, cmd := range cmds {
+		a, err := c.exec(cmd)
+		if err != nil {
+			c.broken = true
+			return nil, err
+		}
+		a.Position = c.m.held
+		switch {
+		case c.inTx && a.Fault != nil:
+			a.Status = proxy.FailedTx
+		case c.inTx:
+			a.Status = proxy.InTx
+		}
+		out[i] = a
+	}
+	c.position = c.m.held
+	return out, nil
+}
+
+func refused(code proxy.Code) (proxy.Answer, error) {
+	return proxy.Answer{Fault: &proxy.Fault{Code: code, Text: "fake"}}, nil
+}
+
+func (c *fakeConn) exec(cmd proxy.Command) (proxy.Answer, error) {
+	switch cmd := cmd.(type) {
+	case proxy.BeginTx:
+		if !cmd.ReadOnly && !c.m.primary {
+			return refused(proxy.ReadOnly)
+		}
+		if c.m.held.Less(cmd.After) {
+			return refused(proxy.Lagging)
+		}
+		c.inTx, c.readOnly, c.wrote = true, cmd.ReadOnly, false
+	case proxy.RollbackTx:
+		c.inTx = false
+	case proxy.SetValue:
+		c.values[cmd.Name] = cmd.Value
+	case proxy.PrepareShape:
+		c.shapes[cmd.Name] = cmd.Shape
+	case proxy.Reset:
+		clear(c.values)
+		clear(c.shapes)
+	case proxy.Run:
+		return c.run(cmd.ID, cmd.Text, strings.HasPrefix(cmd.Text, "write"), cmd.After)
+	case proxy.RunPrepared:
+		shape, ok := c.shapes[cmd.Name]
+		if !ok {
+			return refused(proxy.NoStatement)
+		}
+		return c.run(cmd.ID, shape.Text+" "+cmd.Args, shape.Writes, cmd.After)
+	}
+	return proxy.Answer{}, nil
+}
+
+func (c *fakeConn) run(id, text string, writes bool, after group.Position) (proxy.Answer, error) {
+	m := c.m
+	switch {
+	case m.cut > 0:
+		m.cut--
+		return proxy.Answer{}, proxy.ErrNotSent
+	case m.busy > 0:
+		m.busy--
+		return refused(proxy.Busy)
+	case m.held.Less(after):
+		return refused(proxy.Lagging)
+	case (writes || c.inTx && !c.readOnly) && !m.primary:
+		return refused(proxy.ReadOnly)
+	}
+	m.runs = append(m.runs, c.describe(id, text))
+	c.wrote = c.wrote || writes
+	if text == "commit" {
+		c.inTx = false
+	}
+	if c.wrote && !c.inTx {
+		m.held = group.Position{Term: m.group.term, Offset: m.held.Offset + 1}
+		c.wrote = false
+	}
+	if m.lose > 0 {
+		m.lose--
+		return proxy.Answer{}, os.ErrDeadlineExceeded
+	}
+	return proxy.Answer{Rows: [][]byte{[]byte(text)}, Signature: m.id + ":" + id}, nil
+}
+
+func (c *fakeConn) describe(id, text string) string {
+	out := id + " " + text
+	if c.inTx {
+		out += " tx"
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.values)) {
+		out += fmt.Sprintf(" %s=%s", name, c.values[name])
+	}
+	return out
+}
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,299 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarackcross/config"
+	"tamarackcross/proxy"
+	"tamarackcross/roster"
+)
+
+// fakeCaller is the codec of a caller that a script drives.
+type fakeCaller struct {
+	database string
+	requests chan proxy.Request
+	answers  chan proxy.Answer
+	left     chan struct{}
+	once     sync.Once
+}
+
+func (c *fakeCaller) Greet(time.Duration) (string, string, error) { return c.database, "caller", nil }
+func (c *fakeCaller) Welcome() error                              { return nil }
+func (c *fakeCaller) Interrupt()                                  { c.once.Do(func() { close(c.left) }) }
+
+func (c *fakeCaller) Close() error {
+	c.Interrupt()
+	return nil
+}
+
+func (c *fakeCaller) Refuse(f *proxy.Fault) error {
+	c.answers <- proxy.Answer{Fault: f}
+	return nil
+}
+
+func (c *fakeCaller) Next(limit time.Duration) (proxy.Request, error) {
+	var idle <-chan time.Time
+	if limit > 0 {
+		idle = time.After(limit)
+	}
+	select {
+	case r := <-c.requests:
+		return r, nil
+	case <-idle:
+		return proxy.Request{}, proxy.ErrIdle
+	case <-c.left:
+		return proxy.Request{}, proxy.ErrInterrupted
+	}
+}
+
+func (c *fakeCaller) Reply(a proxy.Answer) error {
+	c.answers <- a
+	return nil
+}
+
+// pipe is a listener that hands out the connections of a script.
+type pipe struct{ conns chan net.Conn }
+
+func (p pipe) Accept() (net.Conn, error) {
+	c, ok := <-p.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (p pipe) Close() error   { return nil }
+func (p pipe) Addr() net.Addr { return &net.TCPAddr{} }
+
+// rig is one instance in front of a group.
+type rig struct {
+	t        *testing.T
+	group    *fakeGroup
+	table    *roster.Table
+	server   *proxy.Server
+	conns    chan net.Conn
+	opened   chan *fakeCaller
+	sessions map[string]*fakeCaller
+	seq      uint64
+	version  uint64
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{
+		t: t, group: &fakeGroup{members: map[string]*fakeMember{}, term: 1}, table: roster.New(),
+		conns: make(chan net.Conn), opened: make(chan *fakeCaller, 1), sessions: map[string]*fakeCaller{},
+	}
+	r.server = proxy.New(r.group, r.table, proxy.WithZone("a"))
+	ended := make(chan error, 1)
+	go func() {
+		ended <- r.server.Serve(context.Background(), pipe{r.conns}, func(net.Conn) proxy.Caller { return <-r.opened })
+	}()
+	t.Cleanup(func() {
+		r.server.Close()
+		close(r.conns)
+		<-ended
+	})
+	return r
+}
+
+// member adds a server: "m1 primary".
+func (r *rig) member(line string) {
+	f := strings.Fields(line)
+	m := &fakeMember{group: r.group, id: f[0], primary: len(f) > 1}
+	r.group.mu.Lock()
+	r.group.members[m.id] = m
+	r.group.mu.Unlock()
+	r.announce(m)
+}
+
+func (r *rig) announce(m *fakeMember) {
+	r.seq++
+	r.table.Put(roster.Entry{
+		Service: "db", ID: m.id, Addr: m.id, Zone: "a", Slots: 3, Seq: r.seq, Primary: m.primary,
+	}, time.Now())
+}
+
+// configure puts routes in force: "name freshness age".
+func (r *rig) configure(lines string) {
+	r.version++
+	doc := &config.Document{
+		Version: r.version, Routes: map[string]config.Route{}, IdleTransaction: time.Second,
+		Services: map[string]config.Service{"db": {Name: "db", MaxConns: 30}},
+	}
+	for line := range strings.SplitSeq(lines, "\n") {
+		f := strings.Fields(line)
+		route := config.Route{Database: f[0], Service: "db", Timeout: 400 * time.Millisecond, Goal: 400 * time.Millisecond}
+		switch f[1] {
+		case "bounded":
+			route.Freshness = config.Bounded
+		case "session":
+			route.Freshness = config.Session
+		}
+		if len(f) > 2 {
+			age, err := time.ParseDuration(f[2])
+			if err != nil {
+				r.t.Fatal(err)
+			}
+			route.MaxAge = age
+		}
+		doc.Routes[route.Database] = route
+	}
+	r.server.Configure(doc)
+}
+
+// open opens a session: "s1 database".
+func (r *rig) open(line string) string {
+	f := strings.Fields(line)
+	c := &fakeCaller{
+		database: f[1], requests: make(chan proxy.Request), answers: make(chan proxy.Answer, 1), left: make(chan struct{}),
+	}
+	r.opened <- c
+	r.conns <- nil
+	select {
+	case a := <-c.answers:
+		return "refused " + a.Fault.Code.String()
+	case <-time.After(50 * time.Millisecond):
+	}
+	r.sessions[f[0]] = c
+	return "open"
+}
+
+// send sends a request and renders its answer: "s1 id text".
+func (r *rig) send(line string) string {
+	name, rest, _ := strings.Cut(line, " ")
+	id, text, _ := strings.Cut(rest, " ")
+	c := r.sessions[name]
+	c.requests <- proxy.Request{ID: id, Text: text, Statement: parse(r.t, text)}
+	a := <-c.answers
+	status := [...]string{"idle", "in transaction", "failed"}[a.Status]
+	if a.Fault != nil {
+		return fmt.Sprintf("%s: fault %s, %s", id, a.Fault.Code, status)
+	}
+	signature, _, _ := strings.Cut(a.Signature, ":")
+	if signature == "" {
+		signature = "proxy"
+	}
+	return fmt.Sprintf("%s: done by %s, %s", id, signature, status)
+}
+
+func parse(t *testing.T, text string) proxy.Statement {
+	t.Helper()
+	f := strings.Fields(text)
+	switch f[0] {
+	case "read":
+		return proxy.Read{}
+	case "write":
+		return proxy.Write{}
+	case "begin":
+		return proxy.Begin{ReadOnly: len(f) > 1}
+	case "commit":
+		return proxy.Commit{}
+	case "rollback":
+		return proxy.Rollback{}
+	case "set":
+		return proxy.Set{Name: f[1], Value: f[2]}
+	case "prepare":
+		return proxy.Prepare{Name: f[1], Shape: proxy.Shape{Writes: f[2] == "write", Text: strings.Join(f[2:], " ")}}
+	case "execute":
+		return proxy.Execute{Name: f[1], Args: strings.Join(f[2:], " ")}
+	case "forget":
+		return proxy.Deallocate{Name: f[1]}
+	}
+	return proxy.Malformed{}
+}
+
+// inject sets a fault: "m1 lose 1".
+func (r *rig) inject(line string) {
+	var id, kind string
+	var n int
+	if _, err := fmt.Sscan(line, &id, &kind, &n); err != nil {
+		r.t.Fatal(err)
+	}
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	m := r.group.members[id]
+	switch kind {
+	case "lose":
+		m.lose = n
+	case "cut":
+		m.cut = n
+	case "busy":
+		m.busy = n
+	case "dark":
+		m.dark = n > 0
+	}
+}
+
+// runs renders what a member ran since the last time.
+func (r *rig) runs(id string) string {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	m := r.group.members[id]
+	out := strings.Join(m.runs, "\n")
+	m.runs = nil
+	if out == "" {
+		return "nothing"
+	}
+	return out
+}
+
+// TestProxy plays scripts of callers and faults.
+func TestProxy(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		r := newRig(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			r.t = t
+			var out []string
+			lines := strings.Split(d.Input, "\n")
+			switch d.Cmd {
+			case "config":
+				r.configure(d.Input)
+				return "ok"
+			case "replicate":
+				r.group.replicate()
+				return "ok"
+			case "wait":
+				time.Sleep(duration(t, d.CmdArgs[0].Key))
+				return "ok"
+			case "promote":
+				r.group.promote(d.CmdArgs[0].Key)
+				return "ok"
+			case "runs":
+				return r.runs(d.CmdArgs[0].Key)
+			}
+			for _, line := range lines {
+				switch d.Cmd {
+				case "member":
+					r.member(line)
+					out = append(out, "ok")
+				case "fault":
+					r.inject(line)
+					out = append(out, "ok")
+				case "open":
+					out = append(out, r.open(line))
+				case "send":
+					out = append(out, r.send(line))
+				default:
+					d.Fatalf(t, "unknown command %s", d.Cmd)
+				}
+			}
+			return strings.Join(out, "\n")
+		})
+	})
+}
+
+func duration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
