--- a/proxy/member.go
+++ b/proxy/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -42,7 +43,8 @@
 	target  Target
 	start   roster.Start
 	now     func() time.Time
-	lane    *lane
+	lane    *lane // for connections
+	running *lane // for statements that take a slot
 	prober  *prober
 	observe func(*member, group.Position)
 	closeIt context.CancelFunc
@@ -61,12 +63,20 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m := &member{
 		dialer: d, target: Target{Addr: e.Addr, Service: e.Service, ID: e.ID}, start: e.Start(),
-		now: now, lane: newLane(slots, now), ctx: ctx, closeIt: cancel, lag: firstLag, lagAt: now(),
+		now: now, lane: newLane(slots, now), running: newLane(runShare(e.Slots), now), ctx: ctx, closeIt: cancel, lag: firstLag, lagAt: now(),
 	}
 	m.update(e, now())
 	return m
 }
 
+// runPart is the part of the slots of a server that one instance may use at a
+// time. The rest of its work waits at the instance, where it is ordered by
+// deadline and refused early, and not in the queue of the server.
+const runPart = 0.6
+
+// runShare returns how many statements an instance may run at a server at a time.
+func runShare(slots int) int { return max(2, int(math.Ceil(runPart*float64(slots)))) }
+
 // newProbedMember returns a member that is probed until it is closed.
 func (v *service) newProbedMember(e roster.Entry, slots int) *member {
 	m := newMember(v.ctx, v.srv.dialer, e, slots, v.srv.now)
@@ -200,6 +210,17 @@
 	return out, err
 }
 
+// execute runs a statement that takes a slot, at the latest at latest. What is
+// refused here has not been sent.
+func (c *backendConn) execute(ctx context.Context, caller string, latest time.Time, limit time.Duration, cmds ...Command) ([]Answer, error) {
+	t, err := c.member.running.enter(ctx, caller, latest, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer c.member.running.leave(t)
+	return c.exec(limit, cmds...)
+}
+
 // failingFor returns how long the server has not answered, or 0.
 func (m *member) failingFor(now time.Time) time.Duration {
 	m.mu.Lock()
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -27,10 +27,11 @@
 	// its successor is chosen. It ends before the 7 s that the users allow.
 	leaveGrace = 5 * time.Second
 	// reservedConns of each backend server are left to control.
-	reservedConns = 3
-	// spareConns is what an instance may hold beyond its equal part, since demand
-	// is never equal.
-	spareConns = 2
+	reservedConns = 2
+	// probeConns is what an instance takes of each backend server for its probes.
+	probeConns = 1
+	// minConns lets an instance go on beside a transaction that rests.
+	minConns = 2
 )
 
 // service is what an instance knows about one group of backend servers.
@@ -123,7 +124,7 @@
 	if cfg.MaxConns <= 0 {
 		return 4
 	}
-	return max(2, (cfg.MaxConns-reservedConns)/max(1, n)+spareConns)
+	return max(minConns, (cfg.MaxConns-reservedConns)/max(1, n)-probeConns)
 }
 
 // maxTermStep bounds the history against a position that makes no sense.
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -20,7 +20,10 @@
 		}
 	}
 	for {
-		a, err := w.runAt(tx)
+		a, err := w.runAt(ctx, tx)
+		if e := errs.As(err); e != nil {
+			return w.session.fail(w.refused(e.Reason()))
+		}
 		if err != nil {
 			return w.lostTx(err)
 		}
@@ -43,11 +46,11 @@
 }
 
 // runAt sends the statement on the connection of the transaction.
-func (w *work) runAt(tx *transaction) (Answer, error) {
+func (w *work) runAt(ctx context.Context, tx *transaction) (Answer, error) {
 	if err := w.prepare(tx.conn); err != nil {
 		return Answer{}, err
 	}
-	answers, err := tx.conn.exec(w.end().Sub(w.now()), w.command(need{}))
+	answers, err := tx.conn.execute(ctx, w.session.user, w.latest(), w.end().Sub(w.now()), w.command(need{}))
 	if err != nil {
 		return Answer{}, err
 	}
@@ -141,7 +144,12 @@
 	tx := w.session.tx
 	m := tx.conn.member
 	for {
-		answers, err := tx.conn.exec(w.end().Sub(w.now()), Run{ID: w.req.ID, Text: w.req.Text})
+		answers, err := tx.conn.execute(ctx, w.session.user, w.latest(), w.end().Sub(w.now()), Run{ID: w.req.ID, Text: w.req.Text})
+		if e := errs.As(err); e != nil {
+			w.session.abort()
+			w.session.failed = false
+			return w.session.refuse(w.refused(e.Reason()))
+		}
 		if err != nil {
 			return w.lostCommit(err)
 		}
