Connection quota follows demand; small shares until the fleet is known; no dial storm at a full server

Cause: a control instance that was frozen or new knew few entries, and each entry then took too many connections; after a loss of power servers count the lost peers for 3 s and entries dialled on.

--- a/host/entry.go
+++ b/host/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	roster   *roster.Table
 	server   *proxy.Server
 	links    *links
+	peers    peerCount
 	callers  net.Listener
 	probe    *http.Server
 	leaving  atomic.Bool
@@ -66,6 +68,7 @@
 	if err != nil {
 		return nil, errors.Join(err, l.Close())
 	}
+	e.peers.count(assumedPeers, p.Now())
 	e.callers = l
 	e.server = proxy.New(p.Dialer, e.roster, opts...)
 	e.links = newLinks("", p.Now, p.Log)
@@ -113,9 +116,7 @@
 	for _, entry := range r.Entries {
 		e.roster.Put(entry, now)
 	}
-	if r.Instances > 0 {
-		e.server.SetInstances(r.Instances)
-	}
+	e.server.SetInstances(e.peers.count(r.Instances, now))
 	if r.Version <= e.server.Version() {
 		return
 	}
@@ -127,6 +128,39 @@
 	e.server.Configure(doc)
 }
 
+// peersHold is how long the largest number of instances that was heard stays in
+// force. A control instance that was frozen, or has just started, knows few.
+const peersHold = 5 * time.Second
+
+// assumedPeers is assumed of a fleet that is not known yet: twice what the users
+// run today.
+const assumedPeers = 16
+
+// peerCount keeps how many instances share the backend servers.
+type peerCount struct {
+	mu    sync.Mutex
+	heard []heardCount // ordered by time, with falling numbers
+}
+
+type heardCount struct {
+	n  int
+	at time.Time
+}
+
+// count takes in a number and returns the largest one of late.
+func (p *peerCount) count(n int, now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.heard) > 0 && now.Sub(p.heard[0].at) > peersHold {
+		p.heard = p.heard[1:]
+	}
+	for len(p.heard) > 0 && p.heard[len(p.heard)-1].n <= n {
+		p.heard = p.heard[:len(p.heard)-1]
+	}
+	p.heard = append(p.heard, heardCount{n: n, at: now})
+	return p.heard[0].n
+}
+
 const (
 	// unreadyFor is how long new callers may still come after the probe fails: two
 	// probes, a second apart.
--- a/proxy/lane.go
+++ b/proxy/lane.go
@@ -34,6 +34,13 @@
 	start time.Time
 }
 
+// full reports whether a request would have to wait, and how many run.
+func (l *lane) full() (inUse int, full bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Running(), l.queue.Running() >= l.queue.Slots()
+}
+
 // enter waits for a ticket until the latest time at which the request may start.
 func (l *lane) enter(ctx context.Context, caller string, latest time.Time, expected time.Duration) (ticket, error) {
 	now := l.now()
@@ -88,11 +95,11 @@
 	}
 }
 
-// load is the running and waiting requests relative to the slots.
-func (l *lane) load() (inUse, slots int) {
+// load is the number of running and waiting requests.
+func (l *lane) load() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.queue.Running() + l.queue.Waiting(), l.queue.Slots()
+	return l.queue.Running() + l.queue.Waiting()
 }
 
 func (l *lane) deliver(ds []admit.Decision) {
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -20,6 +20,9 @@
 	// idleLimit is how long a connection may stay unused: half of the 60 s after
 	// which the users' backend servers close it.
 	idleLimit = 30 * time.Second
+	// extraIdle is how long a connection beyond the equal share may stay unused, so
+	// that other instances find room.
+	extraIdle = time.Second
 	// firstLag is assumed of a replica before anything is known.
 	firstLag = 200 * time.Millisecond
 	// lagMargin is added to the lag that was seen, since it is a lower bound.
@@ -53,6 +56,8 @@
 	mu        sync.Mutex
 	entry     roster.Entry
 	idle      []*backendConn
+	quota     quota
+	dialAfter time.Time     // no connection is opened before
 	lag       time.Duration // how far behind the primary it was at lagAt
 	lagAt     time.Time
 	failing   time.Time // first probe without an answer since the last one with, or zero
@@ -103,6 +108,7 @@
 
 // borrow returns a connection, at the latest at latest.
 func (m *member) borrow(ctx context.Context, caller string, latest time.Time, expected time.Duration) (*backendConn, error) {
+	m.adapt()
 	t, err := m.lane.enter(ctx, caller, latest, expected)
 	if err != nil {
 		return nil, err
@@ -120,6 +126,56 @@
 	return c, nil
 }
 
+// mostPart is the part of the connections of a server that one instance may hold,
+// as a multiple of its equal share.
+const mostPart = 3
+
+// allot sets the equal share of the instance.
+func (m *member) allot(share int) {
+	m.mu.Lock()
+	m.quota.resize(share, mostPart*share)
+	limit := m.quota.limit
+	m.mu.Unlock()
+	m.lane.resize(limit)
+}
+
+// crowdedPause is how long no connection is opened after the server refused one:
+// it counts those of a lost peer for 3 s.
+const crowdedPause = 150 * time.Millisecond
+
+func (m *member) mayDial() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.now().Before(m.dialAfter)
+}
+
+// adapt lets the quota follow demand.
+func (m *member) adapt() {
+	inUse, full := m.lane.full()
+	now := m.now()
+	m.mu.Lock()
+	if full {
+		m.quota.wanted(inUse, now)
+	} else {
+		m.quota.use(inUse, now)
+	}
+	limit := m.quota.limit
+	m.mu.Unlock()
+	m.lane.resize(limit)
+}
+
+// crowded records that the server accepts no more connections.
+func (m *member) crowded() {
+	inUse, _ := m.lane.full()
+	m.mu.Lock()
+	now := m.now()
+	m.quota.refused(inUse, now)
+	m.dialAfter = now.Add(crowdedPause)
+	limit := m.quota.limit
+	m.mu.Unlock()
+	m.lane.resize(limit)
+}
+
 // reuse returns the connection that was used last, so that the others can age.
 func (m *member) reuse() *backendConn {
 	for {
@@ -140,12 +196,18 @@
 }
 
 func (m *member) dial(ctx context.Context) (*backendConn, error) {
+	if !m.mayDial() {
+		return nil, errs.New(errs.NotRun, errs.ReasonQueueFull, "the backend server accepts no more connections")
+	}
 	ctx, stop := context.WithTimeout(ctx, dialLimit)
 	defer stop()
 	conn, err := m.dialer.Dial(ctx, m.target)
 	if err != nil {
 		var f *Fault
 		if errors.As(err, &f) {
+			if f.Code == TooManyConns {
+				m.crowded()
+			}
 			return nil, err
 		}
 		return nil, errs.New(errs.NotRun, errs.ReasonConnect, err.Error())
@@ -174,8 +236,12 @@
 func (m *member) trim(now time.Time) {
 	m.mu.Lock()
 	var old []*backendConn
+	limit := idleLimit
+	if len(m.idle) > m.quota.share/2 {
+		limit = extraIdle
+	}
 	m.idle = slices.DeleteFunc(m.idle, func(c *backendConn) bool {
-		if now.Sub(c.used) < idleLimit {
+		if now.Sub(c.used) < limit {
 			return false
 		}
 		old = append(old, c)
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -59,8 +59,11 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
-		p.probe(ctx)
-		timer.Reset(p.v.probePause())
+		pause := p.v.probePause()
+		if p.probe(ctx); p.conn == nil {
+			pause = max(pause, crowdedPause)
+		}
+		timer.Reset(pause)
 	}
 }
 
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -100,7 +100,7 @@
 			v.members[e.ID] = m
 			m.prober.start()
 		}
-		m.lane.resize(slots)
+		m.allot(slots)
 	}
 	for id, m := range v.members {
 		if !listed[id] {
@@ -230,7 +230,7 @@
 // describe renders a member for the routing decision.
 func (v *service) describe(m *member, n need, now time.Time) route.Member {
 	e := m.snapshot()
-	inUse, _ := m.lane.load()
+	inUse := m.lane.load()
 	lag := m.estimatedLag()
 	out := route.Member{
 		Name: e.ID, Zone: e.Zone, Primary: e.Primary && e.ID != v.primary,
