An instance that is cut off is not ready; the pace of statements follows the delay at the server

Cause: during a zone cut two thirds of the requests of that zone need a primary that only other zones reach; they were refused one after the other while the platform would have sent their callers to other zones.

--- a/host/entry.go
+++ b/host/entry.go
@@ -95,8 +95,26 @@
 // Ended receives the end of a server of the role, with its error.
 func (e *Entry) Ended() <-chan error { return e.ended }
 
-// Ready reports whether the instance takes new callers.
-func (e *Entry) Ready() bool { return e.server.Configured() && !e.leaving.Load() }
+// Ready reports whether the instance takes new callers. One that is cut off lets
+// the platform send them to another zone.
+func (e *Entry) Ready() bool {
+	cut := e.isolated()
+	if e.server.SetIsolated(cut) {
+		e.parts.Log.Warn().Bool("isolated", cut).Msg("isolation changed")
+	}
+	return e.server.Configured() && !e.leaving.Load() && !cut
+}
+
+// isolatedAfter is how long neither a majority of control nor the primaries of
+// most services may answer before the instance counts as cut off: several probes
+// and exchanges, each of which takes 400 ms.
+const isolatedAfter = 1200 * time.Millisecond
+
+// isolated reports whether the instance is cut off from what it needs. The loss
+// of control alone, or of primaries alone, is the same for all instances.
+func (e *Entry) isolated() bool {
+	return !e.links.majority(isolatedAfter) && !e.server.Proving(isolatedAfter)
+}
 
 // Reload takes in new settings.
 func (e *Entry) Reload(s Settings) { e.links.seek(e.ctx, s.Seeds) }
--- a/host/links.go
+++ b/host/links.go
@@ -134,6 +134,20 @@
 	return reply, nil
 }
 
+// majority reports whether more than half of the control instances answered
+// within d. It holds while none is known.
+func (l *links) majority(d time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now, heard := l.now(), 0
+	for _, addr := range l.listed {
+		if k := l.byAddr[addr]; k != nil && now.Sub(k.answer) <= d {
+			heard++
+		}
+	}
+	return len(l.listed) == 0 || 2*heard > len(l.listed)
+}
+
 // close ends all links and waits for their goroutines.
 func (l *links) close() {
 	l.mu.Lock()
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -57,6 +56,7 @@
 	entry     roster.Entry
 	idle      []*backendConn
 	quota     quota
+	pace      pace
 	dialAfter time.Time     // no connection is opened before
 	lag       time.Duration // how far behind the primary it was at lagAt
 	lagAt     time.Time
@@ -68,20 +68,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m := &member{
 		dialer: d, target: Target{Addr: e.Addr, Service: e.Service, ID: e.ID}, start: e.Start(),
-		now: now, lane: newLane(slots, now), running: newLane(runShare(e.Slots), now), ctx: ctx, closeIt: cancel, lag: firstLag, lagAt: now(),
+		now: now, lane: newLane(slots, now), running: newLane(max(leastPace, e.Slots), now), pace: newPace(e.Slots), ctx: ctx, closeIt: cancel, lag: firstLag, lagAt: now(),
 	}
 	m.update(e, now())
 	return m
 }
 
-// runPart is the part of the slots of a server that one instance may use at a
-// time. The rest of its work waits at the instance, where it is ordered by
-// deadline and refused early, and not in the queue of the server.
-const runPart = 0.6
-
-// runShare returns how many statements an instance may run at a server at a time.
-func runShare(slots int) int { return max(2, int(math.Ceil(runPart*float64(slots)))) }
-
 // newProbedMember returns a member that is probed until it is closed.
 func (v *service) newProbedMember(e roster.Entry, slots int) *member {
 	m := newMember(v.ctx, v.srv.dialer, e, slots, v.srv.now)
@@ -278,13 +270,28 @@
 
 // execute runs a statement that takes a slot, at the latest at latest. What is
 // refused here has not been sent.
-func (c *backendConn) execute(ctx context.Context, caller string, latest time.Time, limit time.Duration, cmds ...Command) ([]Answer, error) {
-	t, err := c.member.running.enter(ctx, caller, latest, 0)
+func (c *backendConn) execute(ctx context.Context, w *work, limit time.Duration, cmds ...Command) ([]Answer, error) {
+	m := c.member
+	t, err := m.running.enter(ctx, w.session.user, w.latest(), 0)
 	if err != nil {
 		return nil, err
 	}
-	defer c.member.running.leave(t)
-	return c.exec(limit, cmds...)
+	defer m.running.leave(t)
+	sent := m.now()
+	out, err := c.exec(limit, cmds...)
+	now := m.now()
+	m.adjust(w.svc.delayOf(w.session.database, m.target.ID, now.Sub(sent)), now)
+	return out, err
+}
+
+// adjust lets the pace follow the delay of an answer.
+func (m *member) adjust(delay time.Duration, now time.Time) {
+	_, waiting := m.running.full()
+	m.mu.Lock()
+	m.pace.answered(delay, waiting, now)
+	allowed := m.pace.allowed()
+	m.mu.Unlock()
+	m.running.resize(allowed)
 }
 
 // failingFor returns how long the server has not answered, or 0.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -40,6 +40,7 @@
 	doc       atomic.Pointer[config.Document]
 	instances atomic.Int64 // instances that share the backend servers
 	draining  atomic.Bool
+	isolated  atomic.Bool // other instances can serve what this one cannot
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -192,6 +193,23 @@
 	return out
 }
 
+// SetIsolated tells whether the instance is cut off, and reports whether that
+// changed. A caller that is refused meanwhile is let go, so that it comes back at
+// another instance.
+func (s *Server) SetIsolated(isolated bool) bool { return s.isolated.Swap(isolated) != isolated }
+
+// Proving reports whether at least half of the services had a primary that proved
+// its role within d.
+func (s *Server) Proving(d time.Duration) bool {
+	now, all, proved := s.now(), s.all(), 0
+	for _, v := range all {
+		if v.provedWithin(d, now) {
+			proved++
+		}
+	}
+	return 2*proved >= len(all)
+}
+
 // Serve accepts callers on l until it is closed. open makes a codec for a
 // connection.
 func (s *Server) Serve(ctx context.Context, l net.Listener, open func(net.Conn) Caller) error {
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -47,6 +47,7 @@
 	samples  route.Samples
 	sampled  []timedPosition // the same samples with their times
 	waiting  map[*proofWaiter]struct{}
+	usual    map[string]*usual // by database
 	breakers *retry.Group
 	rnd      *rand.Rand
 	primary  string // the member that last proved to be the primary
@@ -68,6 +69,7 @@
 		),
 		members:  make(map[string]*member),
 		waiting:  make(map[*proofWaiter]struct{}),
+		usual:    make(map[string]*usual),
 		breakers: retry.NewGroup(s.seed),
 		rnd:      rand.New(rand.NewPCG(s.seed, uint64(len(name)))),
 	}
@@ -166,6 +168,14 @@
 	}
 }
 
+// provedWithin reports whether a primary proved its role within d.
+func (v *service) provedWithin(d time.Duration, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := len(v.sampled)
+	return n > 0 && now.Sub(v.sampled[n-1].at) <= d
+}
+
 // primaryMember returns the member that last proved to be the primary, or nil.
 func (v *service) primaryMember() *member {
 	v.mu.Lock()
@@ -249,6 +259,18 @@
 	return out
 }
 
+// delayOf returns how much longer than usual a statement took at a member.
+func (v *service) delayOf(database, member string, took time.Duration) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	u := v.usual[database]
+	if u == nil {
+		u = new(usual)
+		v.usual[database] = u
+	}
+	return u.took(member, took)
+}
+
 // Trouble is a backend server that does not answer this instance.
 type Trouble struct {
 	Service string
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -69,6 +69,9 @@
 		if err := s.caller.Reply(answer); err != nil {
 			return
 		}
+		if answer.Fault != nil && answer.Status == Idle && s.srv.isolated.Load() {
+			return
+		}
 	}
 }
 
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -50,7 +50,7 @@
 	if err := w.prepare(tx.conn); err != nil {
 		return Answer{}, err
 	}
-	answers, err := tx.conn.execute(ctx, w.session.user, w.latest(), w.end().Sub(w.now()), w.command(need{}))
+	answers, err := tx.conn.execute(ctx, w, w.end().Sub(w.now()), w.command(need{}))
 	if err != nil {
 		return Answer{}, err
 	}
@@ -144,7 +144,7 @@
 	tx := w.session.tx
 	m := tx.conn.member
 	for {
-		answers, err := tx.conn.execute(ctx, w.session.user, w.latest(), w.end().Sub(w.now()), Run{ID: w.req.ID, Text: w.req.Text})
+		answers, err := tx.conn.execute(ctx, w, w.end().Sub(w.now()), Run{ID: w.req.ID, Text: w.req.Text})
 		if e := errs.As(err); e != nil {
 			w.session.abort()
 			w.session.failed = false
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -286,7 +286,7 @@
 	if w.tries == 0 {
 		limit = time.Duration(float64(limit) * firstAttemptPart)
 	}
-	answers, err := c.execute(ctx, w.session.user, w.latest(), limit, cmds...)
+	answers, err := c.execute(ctx, w, limit, cmds...)
 	if e := errs.As(err); e != nil {
 		c.dirty = true // the prelude was not sent
 		p.member.put(c, true)
@@ -402,7 +402,7 @@
 		m.put(c, false)
 		return Answer{}, errs.ReasonBackendLost
 	}
-	answers, err := c.execute(ctx, w.session.user, w.latest(), w.end().Sub(w.now()), w.command(need{}))
+	answers, err := c.execute(ctx, w, w.end().Sub(w.now()), w.command(need{}))
 	if e := errs.As(err); e != nil {
 		m.put(c, true)
 		return Answer{}, e.Reason()
