Samples of positions keep a distance, so that the lag of a slow replica stays visible

Cause: each read of the latest data took a sample, 256 were kept, and under load they covered less than the lag; a replica 14 s behind looked 0.7 s behind and reads were sent there in vain. TestLagUnderProofs failed before (estimate 825 ms for a replica 19 s behind). Replicas are probed in a transaction for reads, since they report their position only there.

--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -30,6 +30,7 @@
 	wake chan struct{}
 	done chan error
 	conn Conn
+	role bool // the member was the primary at the last probe
 }
 
 func newProber(v *service, m *member) *prober {
@@ -87,20 +88,26 @@
 		return
 	}
 	p.m.probed(nil, begin)
-	first := answers[0]
+	first, last := answers[0], answers[len(answers)-1]
+	p.role = first.Fault == nil
 	switch {
-	case first.Fault == nil:
+	case p.role:
 		p.v.proved(p.m, begin, first.Position)
+		p.v.observe(p.m, first.Position)
 	case first.Fault.Code == ReadOnly:
 		p.v.deposed(p.m.target.ID)
 	}
-	p.v.observe(p.m, p.conn.Position())
-	if answers[1].Status != Idle {
+	if read := answers[min(2, len(answers)-1)]; !p.role && read.Status == InTx {
+		p.v.observe(p.m, read.Position)
+	}
+	if last.Status != Idle {
 		p.drop()
 	}
 }
 
-// exchange opens and ends a transaction for writes.
+// exchange opens and ends a transaction for writes, and for a member that is not
+// expected to accept it one for reads: a replica reports its present position
+// only there.
 func (p *prober) exchange(ctx context.Context) ([]Answer, error) {
 	if p.conn == nil {
 		ctx, stop := context.WithTimeout(ctx, probeLimit)
@@ -111,7 +118,11 @@
 		}
 		p.conn = c
 	}
-	return p.conn.Exec(probeLimit, BeginTx{}, RollbackTx{})
+	cmds := []Command{BeginTx{}, RollbackTx{}, BeginTx{ReadOnly: true}, RollbackTx{}}
+	if p.role {
+		cmds = cmds[:2]
+	}
+	return p.conn.Exec(probeLimit, cmds...)
 }
 
 // proof is the answer of a member that is the primary.
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -153,15 +153,20 @@
 	v.history, v.maxTerm = h, term
 }
 
-// maxSampled is how many samples are kept with their times.
-const maxSampled = 256
+const (
+	// maxSampled is how many samples are kept.
+	maxSampled = 512
+	// sampleGap is between samples: with proofs for every read at the worst load
+	// the samples still cover the lag of the slowest replicas seen (25 s).
+	sampleGap = 50 * time.Millisecond
+)
 
 // sample keeps a position of the primary, with the history at hand.
 func (v *service) sample(p timedPosition) {
-	v.samples.Add(p.at, p.position)
-	if n := len(v.sampled); n > 0 && !p.at.After(v.sampled[n-1].at) {
+	if n := len(v.sampled); n > 0 && p.at.Sub(v.sampled[n-1].at) < sampleGap {
 		return
 	}
+	v.samples.Add(p.at, p.position)
 	v.sampled = append(v.sampled, p)
 	if len(v.sampled) > maxSampled {
 		v.sampled = slices.Delete(v.sampled, 0, maxSampled/2)
