--- /dev/null
+++ b/event/event_test.go
@@ -0,0 +1,79 @@
+package event_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tamarackcross/event"
+)
+
+// stalled is an output that takes nothing until it is released.
+type stalled struct{ release chan struct{} }
+
+func (s stalled) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+// TestStalledOutput guards against a standard output that nobody reads: the
+// tightest latency objective of the users is 150 ms, and a line takes no part of it
+// that a caller could notice.
+func TestStalledOutput(t *testing.T) {
+	const lines, limit = 10_000, 150 * time.Millisecond
+	out := stalled{release: make(chan struct{})}
+	log := event.New(out, zerolog.InfoLevel, 1<<30, time.Now)
+	longest := time.Duration(0)
+	for i := range lines {
+		start := time.Now()
+		log.Info().Str(event.ID, fmt.Sprint(i)).Msg("routed")
+		longest = max(longest, time.Since(start))
+	}
+	close(out.release)
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if longest > limit {
+		t.Fatalf("a line took %v, want at most %v", longest, limit)
+	}
+	if log.Dropped() == 0 {
+		t.Fatal("lines were lost and not counted")
+	}
+}
+
+// TestBudget replays the worst load of the users on one instance, 700 requests a
+// second, and counts what is written.
+func TestBudget(t *testing.T) {
+	s := event.NewSampler(event.DefaultBudget)
+	start := time.Unix(0, 0)
+	kept := 0
+	for i := range 7000 {
+		now := start.Add(time.Duration(i) * time.Second / 700)
+		if s.Keep(fmt.Sprintf("%x", i*2654435761), now) && i >= 1400 {
+			kept++
+		}
+	}
+	bytes := kept * 2 * 280 / 8
+	if bytes > event.DefaultBudget*12/10 || bytes < event.DefaultBudget*8/10 {
+		t.Fatalf("lines take %d bytes a second, the budget is %d", bytes, event.DefaultBudget)
+	}
+}
+
+// TestHardLimit guards against a flood of failures that fills the log.
+func TestHardLimit(t *testing.T) {
+	var out strings.Builder
+	now := time.Unix(0, 0)
+	log := event.New(&out, zerolog.InfoLevel, 100, func() time.Time { return now })
+	for range 1000 {
+		log.Warn().Msg("refused")
+	}
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if out.Len() > 16*100 || log.Dropped() == 0 {
+		t.Fatalf("%d bytes written, %d lines dropped", out.Len(), log.Dropped())
+	}
+}
--- a/host/control.go
+++ b/host/control.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/rs/zerolog"
 	"storj.io/drpc/drpcmux"
 
 	"tamarackcross/config"
 	"tamarackcross/ctrl"
+	"tamarackcross/event"
 	"tamarackcross/ledger"
 	"tamarackcross/mesh"
 	"tamarackcross/raft"
@@ -28,7 +28,7 @@
 	Promoter Promoter // nil if the platform has no such duty
 	Members  MemberCalls
 	Now      func() time.Time
-	Log      zerolog.Logger
+	Log      *event.Log
 	Stats    *stats.Registry
 	Seed     uint64
 }
@@ -106,7 +106,7 @@
 func (c *Controller) open() error {
 	opts := []ctrl.Option{
 		ctrl.WithName(c.settings.Name), ctrl.WithZone(c.settings.Zone), ctrl.WithInitial(c.settings.Seeds...),
-		ctrl.WithDial(mesh.Dial), ctrl.WithLog(c.parts.Log), ctrl.WithClock(c.parts.Now),
+		ctrl.WithDial(mesh.Dial), ctrl.WithLog(c.parts.Log.Logger), ctrl.WithClock(c.parts.Now),
 		ctrl.WithLedger(c.ledger), ctrl.WithOpenMembership(),
 	}
 	if !c.settings.Form {
--- a/host/duty.go
+++ b/host/duty.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"tamarackcross/duty"
+	"tamarackcross/event"
 	"tamarackcross/ledger"
 	"tamarackcross/proxy"
 	"tamarackcross/roster"
@@ -36,12 +36,40 @@
 // instance leads.
 type supervision struct {
 	c        *Controller
-	log      zerolog.Logger
+	log      *event.Log
 	services map[string]*duty.Supervisor
 	events   chan dutyEvent
+	gauged   time.Time
 	wg       conc.WaitGroup
 }
 
+// gaugeInterval is between updates of the gauges of control.
+const gaugeInterval = time.Second
+
+// gauge reports the state of the control instance.
+func (s *supervision) gauge(now time.Time) {
+	if now.Sub(s.gauged) < gaugeInterval {
+		return
+	}
+	s.gauged = now
+	st, c := s.c.parts.Stats, s.c
+	status := c.node.Status()
+	stored, _ := c.ledger.Config()
+	leads := 0.0
+	if c.current() {
+		leads = 1
+	}
+	st.Gauge("leader", nil, leads)
+	st.Gauge("log_term", nil, float64(status.Term))
+	st.Gauge("log_commit", nil, float64(status.Commit))
+	st.Gauge("control_members", nil, float64(len(status.Members)))
+	st.Gauge("config_version", nil, float64(stored.Version))
+	st.Gauge("entries", nil, float64(c.instances()))
+	st.Gauge("roster_revision", nil, float64(c.roster.Revision()))
+	st.Gauge("log_lines_dropped", nil, float64(s.log.Dropped()))
+	st.Runtime()
+}
+
 // dutyEvent is the outcome of an action for a service.
 type dutyEvent struct {
 	service string
@@ -69,6 +97,7 @@
 				s.act(ctx, e.service, sup.Step(e.event, c.parts.Now()))
 			}
 		case <-t.C:
+			s.gauge(c.parts.Now())
 			s.look(ctx)
 		}
 	}
--- a/host/entry.go
+++ b/host/entry.go
@@ -9,8 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
+	"tamarackcross/event"
 	"tamarackcross/mesh"
 	"tamarackcross/proxy"
 	"tamarackcross/roster"
@@ -24,7 +23,7 @@
 	Ready  func(ready func() bool) http.Handler
 	Decode DecodeFunc
 	Now    func() time.Time
-	Log    zerolog.Logger
+	Log    *event.Log
 	Stats  *stats.Registry
 	Seed   uint64
 }
--- a/host/links.go
+++ b/host/links.go
@@ -6,8 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
+	"tamarackcross/event"
 	"tamarackcross/mesh"
 )
 
@@ -31,7 +30,7 @@
 	request func() mesh.SyncRequest
 	accept  func(*mesh.SyncReply)
 	now     func() time.Time
-	log     zerolog.Logger
+	log     *event.Log
 
 	mu     sync.Mutex
 	seeds  []string
@@ -50,7 +49,7 @@
 	seen   uint64
 }
 
-func newLinks(self string, now func() time.Time, log zerolog.Logger) *links {
+func newLinks(self string, now func() time.Time, log *event.Log) *links {
 	return &links{self: self, now: now, log: log, byAddr: make(map[string]*link)}
 }
 
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"tamarackcross/event"
 	"tamarackcross/group"
 )
 
@@ -188,7 +189,7 @@
 	defer v.mu.Unlock()
 	v.raiseTerm(p.Term)
 	if id := m.target.ID; v.primary != id {
-		v.log.Info().Str("was", v.primary).Str("primary", id).Str("position", p.String()).Msg("primary proved")
+		v.log.Info().Str("was", v.primary).Str(event.Primary, id).Str("position", p.String()).Msg("primary proved")
 		v.primary = id
 	}
 	v.sample(timedPosition{at: at, position: p})
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"tamarackcross/config"
+	"tamarackcross/event"
 	"tamarackcross/roster"
 	"tamarackcross/stats"
 )
@@ -32,7 +32,7 @@
 	dialer Dialer
 	roster *roster.Table
 	now    func() time.Time
-	log    zerolog.Logger
+	log    *event.Log
 	stats  *stats.Registry
 	seed   uint64
 	limit  int
@@ -61,7 +61,7 @@
 func WithClock(now func() time.Time) Option { return func(s *Server) { s.now = now } }
 
 // WithLog sets the log.
-func WithLog(l zerolog.Logger) Option { return func(s *Server) { s.log = l } }
+func WithLog(l *event.Log) Option { return func(s *Server) { s.log = l } }
 
 // WithStats sets the metrics.
 func WithStats(r *stats.Registry) Option { return func(s *Server) { s.stats = r } }
@@ -79,7 +79,7 @@
 // t. It serves nothing before Configure.
 func New(d Dialer, t *roster.Table, opts ...Option) *Server {
 	s := &Server{
-		dialer: d, roster: t, now: time.Now, log: zerolog.Nop(), seed: 1, limit: defaultMaxSessions,
+		dialer: d, roster: t, now: time.Now, log: event.Nop(), seed: 1, limit: defaultMaxSessions,
 		services: make(map[string]*service), sessions: make(map[*session]struct{}),
 	}
 	for _, opt := range opts {
@@ -105,7 +105,7 @@
 			break
 		}
 	}
-	s.log.Info().Uint64("version", doc.Version).Int("routes", len(doc.Routes)).Msg("configuration in force")
+	s.log.Info().Uint64(event.Version, doc.Version).Int("routes", len(doc.Routes)).Msg("configuration in force")
 	s.refresh()
 }
 
@@ -160,6 +160,15 @@
 	for _, v := range s.all() {
 		v.upkeep(now)
 	}
+	isolated := 0.0
+	if s.isolated.Load() {
+		isolated = 1
+	}
+	s.stats.Gauge("config_version", nil, float64(s.Version()))
+	s.stats.Gauge("isolated", nil, isolated)
+	s.stats.Gauge("instances", nil, float64(s.instances.Load()))
+	s.stats.Gauge("log_lines_dropped", nil, float64(s.log.Dropped()))
+	s.stats.Runtime()
 }
 
 func (s *Server) all() []*service {
@@ -237,7 +246,7 @@
 		return
 	}
 	if f := s.admit(database); f != nil {
-		s.log.Info().Str("database", database).Str("code", f.Code.String()).Msg("session refused")
+		s.log.Info().Str(event.Database, database).Str(event.Code, f.Code.String()).Msg("session refused")
 		_ = c.Refuse(f)
 		return
 	}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"tamarackcross/config"
+	"tamarackcross/event"
 	"tamarackcross/group"
 	"tamarackcross/retry"
 	"tamarackcross/roster"
@@ -39,7 +40,7 @@
 	srv    *Server
 	name   string
 	ctx    context.Context
-	log    zerolog.Logger
+	log    *event.Log
 	policy *route.Policy
 
 	mu       sync.Mutex
@@ -63,7 +64,7 @@
 
 func newService(ctx context.Context, s *Server, name string) *service {
 	v := &service{
-		srv: s, name: name, ctx: ctx, log: s.log.With().Str("service", name).Logger(),
+		srv: s, name: name, ctx: ctx, log: s.log.With(func(c zerolog.Context) zerolog.Context { return c.Str(event.Service, name) }),
 		policy: route.New(
 			route.WithOverflow(overflowWait), route.WithPenalty(primaryPenalty), route.WithLeaveGrace(leaveGrace),
 		),
@@ -188,6 +189,12 @@
 	return v.members[v.primary]
 }
 
+func (v *service) primaryID() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.primary
+}
+
 func (v *service) member(id string) *member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -306,7 +313,31 @@
 	v.mu.Unlock()
 	for _, m := range members {
 		m.trim(now)
+		v.gauge(m, now)
+	}
+}
+
+// gauge reports what is known of a member.
+func (v *service) gauge(m *member, now time.Time) {
+	tags := map[string]string{"service": v.name, "member": m.target.ID}
+	inUse, _ := m.lane.full()
+	running, _ := m.running.full()
+	m.mu.Lock()
+	limit, pace, lag, idle := m.quota.limit, m.pace.allowed(), m.lag, len(m.idle)
+	m.mu.Unlock()
+	primary := 0.0
+	if v.primaryID() == m.target.ID {
+		primary = 1
 	}
+	st := v.srv.stats
+	st.Gauge("connections_in_use", tags, float64(inUse))
+	st.Gauge("connections_idle", tags, float64(idle))
+	st.Gauge("connections_quota", tags, float64(limit))
+	st.Gauge("statements_running", tags, float64(running))
+	st.Gauge("statements_pace", tags, float64(pace))
+	st.Gauge("lag_seconds", tags, lag.Seconds())
+	st.Gauge("failing_seconds", tags, m.failingFor(now).Seconds())
+	st.Gauge("primary", tags, primary)
 }
 
 func (v *service) close() {
--- a/proxy/service_test.go
+++ b/proxy/service_test.go
@@ -4,8 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
+	"tamarackcross/event"
 	"tamarackcross/group"
 	"tamarackcross/retry"
 	"tamarackcross/roster"
@@ -16,8 +15,8 @@
 // made it look less and less behind.
 func TestLagUnderProofs(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := &Server{now: func() time.Time { return now }, log: zerolog.Nop()}
-	v := &service{srv: s, members: map[string]*member{}, waiting: map[*proofWaiter]struct{}{}, breakers: retry.NewGroup(1)}
+	s := &Server{now: func() time.Time { return now }, log: event.Nop()}
+	v := &service{srv: s, log: s.log, members: map[string]*member{}, waiting: map[*proofWaiter]struct{}{}, breakers: retry.NewGroup(1)}
 	m := newMember(t.Context(), nil, roster.Entry{ID: "m2"}, 4, s.now)
 	primary := newMember(t.Context(), nil, roster.Entry{ID: "m1"}, 4, s.now)
 	primary.prober = newProber(v, primary)
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackcross/config"
+	"tamarackcross/event"
 )
 
 const (
@@ -112,7 +113,7 @@
 	case errors.Is(err, ErrTooBig):
 		_ = s.caller.Refuse(fault(TooBig, "message is over the size limit"))
 	case errors.Is(err, ErrIdle):
-		s.srv.log.Info().Str("database", s.database).Msg("transaction was idle for too long")
+		s.srv.log.Info().Str(event.Database, s.database).Msg("transaction was idle for too long")
 	}
 }
 
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 
+	"github.com/rs/zerolog"
+
 	"tamarackcross/config"
 	"tamarackcross/errs"
+	"tamarackcross/event"
 )
 
 // inTransaction runs a statement of the open transaction.
@@ -40,7 +43,7 @@
 		if a.Fault.Code == ReadOnly {
 			w.svc.deposed(tx.conn.member.target.ID)
 		}
-		w.tell("transaction failed with " + a.Fault.Code.String())
+		w.failed(a.Fault)
 		return w.session.fail(a.Fault)
 	}
 }
@@ -61,8 +64,8 @@
 // commit was sent: the backend server rolls it back.
 func (w *work) lostTx(err error) Answer {
 	tx := w.session.tx
-	w.session.srv.log.Info().Str("id", w.req.ID).Str("database", w.session.database).
-		Str("member", tx.conn.member.target.ID).Err(err).Msg("transaction lost its connection")
+	w.line(zerolog.InfoLevel).Str(event.Member, tx.conn.member.target.ID).Err(err).
+		Str(event.Outcome, event.NotRun).Msg("transaction lost its connection")
 	w.svc.judge(tx.conn.member, false)
 	w.session.dropTx(false)
 	w.session.failed = true
@@ -107,6 +110,7 @@
 // openAt opens the transaction at one member. A member that opens one for writes
 // is the primary at that moment.
 func (w *work) openAt(ctx context.Context, p place) errs.Reason {
+	w.routed(p)
 	c, err := p.member.borrow(ctx, w.session.user, w.latest(), 0)
 	if err != nil {
 		return w.failedBorrow(p.member, err)
@@ -190,7 +194,7 @@
 	if a.Fault.Code == ReadOnly {
 		w.svc.deposed(m.target.ID)
 	}
-	w.tell("commit failed with " + a.Fault.Code.String())
+	w.failed(a.Fault)
 	if a.Status == Idle {
 		w.session.dropTx(true)
 	} else {
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -52,39 +52,6 @@
 // latest is until when a request may wait for a connection.
 func (w *work) latest() time.Time { return w.arrived.Add(min(w.route.Goal, w.route.Timeout)) }
 
-func (w *work) tell(event string) {
-	w.session.srv.log.Info().Str("id", w.req.ID).Str("database", w.session.database).Int("try", w.tries).
-		Dur("after", w.now().Sub(w.arrived)).Msg(event)
-}
-
-// retry counts another attempt.
-func (w *work) retry(reason errs.Reason, m *member) {
-	w.tries++
-	w.session.srv.stats.Retried(reason)
-	id := ""
-	if m != nil {
-		id = m.target.ID
-	}
-	w.session.srv.log.Info().Str("id", w.req.ID).Str("database", w.session.database).Str("member", id).
-		Str("reason", string(reason)).Int("try", w.tries).Dur("after", w.now().Sub(w.arrived)).Msg("retried")
-}
-
-// refused ends a request that has not run.
-func (w *work) refused(reason errs.Reason) *Fault {
-	w.session.srv.stats.Refused(reason)
-	w.session.srv.log.Info().Str("id", w.req.ID).Str("database", w.session.database).Str("reason", string(reason)).
-		Int("try", w.tries).Dur("after", w.now().Sub(w.arrived)).Msg("refused")
-	return fault(Busy, fmt.Sprintf("not run: %s, come back in %d ms", reason, comeBack.Milliseconds()))
-}
-
-// doubt ends a request whose outcome is not known.
-func (w *work) doubt(m *member, err error) *Fault {
-	w.session.srv.stats.Refused(errs.ReasonBackendLost)
-	w.session.srv.log.Warn().Str("id", w.req.ID).Str("database", w.session.database).Str("member", m.target.ID).
-		Err(err).Dur("after", w.now().Sub(w.arrived)).Msg("in doubt")
-	return fault(InDoubt, "the answer of the backend server was lost")
-}
-
 // pause waits d, or until ctx ends. It reports whether there is time left.
 func (w *work) pause(ctx context.Context, d time.Duration, until time.Time) bool {
 	if w.now().Add(d).After(until) {
@@ -277,6 +244,7 @@
 
 // readAt runs a read at one member. A reason means that it may be tried again.
 func (w *work) readAt(ctx context.Context, p place) (Answer, errs.Reason) {
+	w.routed(p)
 	c, err := p.member.borrow(ctx, w.session.user, w.latest(), 0)
 	if err != nil {
 		return Answer{}, w.failedBorrow(p.member, err)
@@ -335,7 +303,7 @@
 			return Answer{}, errs.ReasonBackendLost
 		}
 	}
-	w.tell("failed with " + a.Fault.Code.String())
+	w.failed(a.Fault)
 	return w.session.refuse(a.Fault), ""
 }
 
@@ -351,20 +319,6 @@
 	return errs.ReasonConnect
 }
 
-func (w *work) served(m *member) {
-	st := w.session.srv.stats
-	switch {
-	case w.writes:
-		st.Write()
-	case m == w.svc.primaryMember():
-		st.ReadPrimary()
-	default:
-		st.ReadReplica()
-	}
-	w.session.srv.log.Debug().Str("id", w.req.ID).Str("database", w.session.database).Str("member", m.target.ID).
-		Int("try", w.tries).Dur("after", w.now().Sub(w.arrived)).Msg("served")
-}
-
 // primary returns the member that proved to be the primary, waiting for one.
 func (w *work) primary(ctx context.Context) (*member, *Fault) {
 	if m := w.svc.primaryMember(); m != nil && m.failingFor(w.now()) == 0 {
@@ -394,6 +348,7 @@
 }
 
 func (w *work) writeAt(ctx context.Context, m *member) (Answer, errs.Reason) {
+	w.routed(place{member: m})
 	c, err := m.borrow(ctx, w.session.user, w.latest(), 0)
 	if err != nil {
 		return Answer{}, w.failedBorrow(m, err)
@@ -432,7 +387,7 @@
 	case a.Fault.Code.notRun():
 		return Answer{}, errs.ReasonQueueFull
 	}
-	w.tell("failed with " + a.Fault.Code.String())
+	w.failed(a.Fault)
 	return w.session.refuse(a.Fault), ""
 }
 
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -5,7 +5,11 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"math"
+	"runtime/metrics"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,7 +44,7 @@
 
 // New returns a registry whose metrics carry the given tags.
 func New(tags map[string]string) *Registry {
-	rep := &textReporter{values: make(map[string]float64)}
+	rep := &textReporter{values: make(map[string]float64), histograms: make(map[string]*histogram)}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "tamarackcross",
 		Tags:            tags,
@@ -73,6 +77,32 @@
 // Retried counts a retry.
 func (r *Registry) Retried(reason errs.Reason) { r.counter(r.retries, "retries", reason).Inc(1) }
 
+// latencyBuckets are the upper bounds of latency histograms: from a round trip in
+// a zone to the longest deadline of the users.
+var latencyBuckets = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
+	800 * time.Millisecond, 1600 * time.Millisecond, 5 * time.Second,
+}
+
+// Observe adds a duration to the latency histogram of that name.
+func (r *Registry) Observe(name string, d time.Duration) {
+	r.scope.Histogram(name, latencyBuckets).RecordDuration(d)
+}
+
+// Runtime sets the gauges of the runtime.
+func (r *Registry) Runtime() {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/sched/goroutines:goroutines"}}
+	metrics.Read(samples)
+	r.Gauge("memory_bytes", nil, float64(samples[0].Value.Uint64()))
+	r.Gauge("goroutines", nil, float64(samples[1].Value.Uint64()))
+}
+
+// Gauge sets the gauge of that name and tags.
+func (r *Registry) Gauge(name string, tags map[string]string, v float64) {
+	r.scope.Tagged(tags).Gauge(name).Update(v)
+}
+
 // Counts are the requests answered since the start.
 type Counts struct {
 	Writes       int64
@@ -163,8 +193,35 @@
 
 // textReporter accumulates what tally reports.
 type textReporter struct {
-	mu     sync.Mutex
-	values map[string]float64
+	mu         sync.Mutex
+	values     map[string]float64
+	histograms map[string]*histogram
+}
+
+// histogram is the samples of one latency histogram by upper bound.
+type histogram struct {
+	name   string
+	tags   map[string]string
+	counts map[time.Duration]int64
+}
+
+// lines renders the histogram with cumulative buckets.
+func (h *histogram) lines() []string {
+	var out []string
+	total := int64(0)
+	for _, upper := range slices.Sorted(maps.Keys(h.counts)) {
+		total += h.counts[upper]
+		tags := maps.Clone(h.tags)
+		if tags == nil {
+			tags = make(map[string]string)
+		}
+		tags["le"] = strconv.FormatFloat(upper.Seconds(), 'g', -1, 64)
+		if upper == math.MaxInt64 {
+			tags["le"] = "+Inf"
+		}
+		out = append(out, fmt.Sprintf("%s %d", series(h.name+"_seconds_bucket", tags), total))
+	}
+	return append(out, fmt.Sprintf("%s %d", series(h.name+"_seconds_count", h.tags), total))
 }
 
 func (t *textReporter) add(name string, tags map[string]string, v float64, reset bool) {
@@ -194,6 +251,9 @@
 	for k, v := range t.values {
 		out = append(out, fmt.Sprintf("%s %g", k, v))
 	}
+	for _, h := range t.histograms {
+		out = append(out, h.lines()...)
+	}
 	slices.Sort(out)
 	return out
 }
@@ -221,7 +281,15 @@
 
 // ReportHistogramDurationSamples adds samples to a bucket.
 func (t *textReporter) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
-	t.add(fmt.Sprintf("%s_bucket_%s", name, upper), tags, float64(samples), false)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := series(name, tags)
+	h := t.histograms[key]
+	if h == nil {
+		h = &histogram{name: name, tags: tags, counts: make(map[time.Duration]int64)}
+		t.histograms[key] = h
+	}
+	h.counts[upper] += samples
 }
 
 // Capabilities returns the reporter itself, which reports and tags.
