--- a/cmds/run.go
+++ b/cmds/run.go
@@ -36,6 +36,7 @@
 		&devCommand{},
 		&capacityCommand{},
 		&hostedCommand{},
+		&traceCommand{},
 		&versionCommand{},
 	}
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -10,8 +11,10 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
 
 	"tamarackcross/config"
+	"tamarackcross/event"
 	"tamarackcross/proxy"
 	"tamarackcross/roster"
 )
@@ -83,6 +86,48 @@
 	sessions map[string]*fakeCaller
 	seq      uint64
 	version  uint64
+	logged   logBuffer
+}
+
+// logBuffer keeps the log of an instance.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// logWait lets the lines pass the buffer of the log.
+const logWait = 50 * time.Millisecond
+
+// about renders the lines about a request, without what differs between runs.
+func (b *logBuffer) about(t *testing.T, id string) string {
+	t.Helper()
+	time.Sleep(logWait)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for line := range strings.Lines(b.text.String()) {
+		var f map[string]any
+		if err := json.Unmarshal([]byte(line), &f); err != nil {
+			t.Fatal(err)
+		}
+		if f[event.ID] != id {
+			continue
+		}
+		text := fmt.Sprint(f["message"])
+		for _, name := range []string{event.Try, event.Member, event.Primary, event.Freshness, event.Need, event.Reason, event.Code, event.Outcome} {
+			if v, ok := f[name]; ok {
+				text += fmt.Sprintf(" %s=%v", name, v)
+			}
+		}
+		out = append(out, text)
+	}
+	return strings.Join(out, "\n")
 }
 
 func newRig(t *testing.T) *rig {
@@ -90,7 +135,8 @@
 		t: t, group: &fakeGroup{members: map[string]*fakeMember{}, term: 1}, table: roster.New(),
 		conns: make(chan net.Conn), opened: make(chan *fakeCaller, 1), sessions: map[string]*fakeCaller{},
 	}
-	r.server = proxy.New(r.group, r.table, proxy.WithZone("a"))
+	log := event.New(&r.logged, zerolog.InfoLevel, 1<<20, time.Now)
+	r.server = proxy.New(r.group, r.table, proxy.WithZone("a"), proxy.WithLog(log))
 	ended := make(chan error, 1)
 	go func() {
 		ended <- r.server.Serve(context.Background(), pipe{r.conns}, func(net.Conn) proxy.Caller { return <-r.opened })
@@ -265,6 +311,8 @@
 			case "promote":
 				r.group.promote(d.CmdArgs[0].Key)
 				return "ok"
+			case "log":
+				return r.logged.about(t, d.CmdArgs[0].Key)
 			case "runs":
 				return r.runs(d.CmdArgs[0].Key)
 			}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -148,7 +148,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.rows[s.ID]
-	if r == nil || s.Born != 0 && s.Born != r.entry.Born || r.entry.State == Gone {
+	if r == nil || s.Born != r.entry.Born || r.entry.State == Gone {
 		return false
 	}
 	r.entry.State, r.heard = Gone, now
