A refusal by the admission of the instance ends the request; a near primary without a queue serves reads

Cause: a request that its own instance could not admit was tried again at the same member up to three times within milliseconds; reads crossed zones to a replica though the primary stood in their own zone.

--- a/proxy/member.go
+++ b/proxy/member.go
@@ -294,6 +294,14 @@
 	m.running.resize(allowed)
 }
 
+// queued reports whether statements wait, here or at the server.
+func (m *member) queued() bool {
+	_, full := m.running.full()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return full || m.pace.delay > fastDelay
+}
+
 // failingFor returns how long the server has not answered, or 0.
 func (m *member) failingFor(now time.Time) time.Duration {
 	m.mu.Lock()
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -246,7 +246,25 @@
 	} else {
 		q.Bound = group.LatestBound{}
 	}
-	return v.policy.Pick(q, g, now, v.rnd)
+	return v.nearer(v.policy.Pick(q, g, now, v.rnd), q, n, now)
+}
+
+// nearer prefers a primary in the own zone that has no queue to a replica in
+// another zone: traffic between zones costs more than its slots, and each member
+// then serves the reads of its own zone.
+func (v *service) nearer(c route.Choice, q route.Query, n need, now time.Time) route.Choice {
+	use, ok := c.(route.Use)
+	m := v.members[v.primary]
+	if !ok || use.Confirm || !n.known || m == nil || slices.Contains(q.Exclude, v.primary) {
+		return c
+	}
+	if chosen := v.members[use.Name]; chosen == nil || chosen.snapshot().Zone == q.Zone {
+		return c
+	}
+	if e := m.snapshot(); e.Zone != q.Zone || e.State != roster.Ready || m.failingFor(now) > 0 || m.queued() {
+		return c
+	}
+	return route.Use{Name: v.primary, Need: use.Need}
 }
 
 // describe renders a member for the routing decision.
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/rs/zerolog"
 
@@ -85,9 +86,13 @@
 		if reason == "" {
 			return nil
 		}
+		alone := !w.session.tx.readOnly || w.route.Freshness == config.Latest
+		if w.shed && (alone || slices.Contains(exclude, p.member.target.ID)) {
+			return w.refused(reason)
+		}
 		w.retry(reason, p.member)
 		exclude = append(exclude, p.member.target.ID)
-		if len(exclude) > 2 || !w.session.tx.readOnly || w.route.Freshness == config.Latest {
+		if len(exclude) > 2 || alone {
 			exclude = nil
 			if !w.pause(ctx, retryPause, w.latest()) {
 				return w.refused(reason)
@@ -111,6 +116,7 @@
 // is the primary at that moment.
 func (w *work) openAt(ctx context.Context, p place) errs.Reason {
 	w.routed(p)
+	w.shed = false
 	c, err := p.member.borrow(ctx, w.session.user, w.latest(), 0)
 	if err != nil {
 		return w.failedBorrow(p.member, err)
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"os"
+	"slices"
 	"time"
 
 	"tamarackcross/config"
@@ -37,6 +38,7 @@
 	route    config.Route
 	svc      *service
 	tries    int
+	shed     bool // the last attempt was refused by the admission of this instance
 }
 
 func (w *work) now() time.Time { return w.session.srv.now() }
@@ -223,13 +225,11 @@
 		if reason == "" {
 			return a
 		}
+		if w.shed && (w.route.Freshness == config.Latest || slices.Contains(exclude, p.member.target.ID)) {
+			return w.session.refuse(w.refused(reason))
+		}
 		w.retry(reason, p.member)
 		exclude = append(exclude, p.member.target.ID)
-		if reason == errs.ReasonQueueFull || reason == errs.ReasonDeadline {
-			if len(exclude) > 2 || !w.now().Before(w.latest()) {
-				return w.session.refuse(w.refused(reason))
-			}
-		}
 		if w.route.Freshness == config.Latest || len(exclude) > 2 {
 			exclude = nil
 			if !w.pause(ctx, retryPause, w.latest()) {
@@ -245,6 +245,7 @@
 // readAt runs a read at one member. A reason means that it may be tried again.
 func (w *work) readAt(ctx context.Context, p place) (Answer, errs.Reason) {
 	w.routed(p)
+	w.shed = false
 	c, err := p.member.borrow(ctx, w.session.user, w.latest(), 0)
 	if err != nil {
 		return Answer{}, w.failedBorrow(p.member, err)
@@ -256,6 +257,7 @@
 	}
 	answers, err := c.execute(ctx, w, limit, cmds...)
 	if e := errs.As(err); e != nil {
+		w.shed = true
 		c.dirty = true // the prelude was not sent
 		p.member.put(c, true)
 		return Answer{}, e.Reason()
@@ -310,6 +312,7 @@
 // failedBorrow records why no connection was borrowed.
 func (w *work) failedBorrow(m *member, err error) errs.Reason {
 	if e := errs.As(err); e != nil && e.Reason() != errs.ReasonConnect {
+		w.shed = true
 		return e.Reason()
 	}
 	var f *Fault
@@ -340,6 +343,9 @@
 		if reason == "" {
 			return a
 		}
+		if w.shed {
+			return w.session.refuse(w.refused(reason))
+		}
 		w.retry(reason, m)
 		if !w.pause(ctx, retryPause, w.latest()) {
 			return w.session.refuse(w.refused(reason))
@@ -349,6 +355,7 @@
 
 func (w *work) writeAt(ctx context.Context, m *member) (Answer, errs.Reason) {
 	w.routed(place{member: m})
+	w.shed = false
 	c, err := m.borrow(ctx, w.session.user, w.latest(), 0)
 	if err != nil {
 		return Answer{}, w.failedBorrow(m, err)
@@ -359,6 +366,7 @@
 	}
 	answers, err := c.execute(ctx, w, w.end().Sub(w.now()), w.command(need{}))
 	if e := errs.As(err); e != nil {
+		w.shed = true
 		m.put(c, true)
 		return Answer{}, e.Reason()
 	}
