Control proves primaries for instances where servers accept few connections

Control now probes once per control instance, and an entry asks the nearest one; the age of a proof counts from the entry's own question. Connections are opened when they are needed there.

--- a/cmds/hosted.go
+++ b/cmds/hosted.go
@@ -163,7 +163,7 @@
 	}
 	parts := host.ControlParts{
 		Handler: func(h host.Control) http.Handler { return platform.ControlHandler(h, log) },
-		Decode:  platform.DecodeConfig, Members: platform.MemberCalls{Dialer: dialer},
+		Decode:  platform.DecodeConfig, Members: platform.MemberCalls{Dialer: dialer}, Dialer: dialer,
 		Now: clock.Now, Log: log, Stats: st, Seed: seed,
 	}
 	if s.Duty != "" {
--- a/host/calls.go
+++ b/host/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"tamarackcross/mesh"
 )
@@ -36,3 +37,15 @@
 	stored, _ := p.c.ledger.Config()
 	return &mesh.GetReply{Known: true, Version: stored.Version, Body: stored.Body}, nil
 }
+
+// proveLimit bounds the wait for a proof that an entry asked for.
+const proveLimit = 350 * time.Millisecond
+
+// Prove proves the primary of a service for an entry.
+func (p peerCalls) Prove(ctx context.Context, in *mesh.ProveRequest) (*mesh.ProveReply, error) {
+	proof, ok := p.c.prober().Prove(ctx, in.Service, proveLimit)
+	if !ok {
+		return &mesh.ProveReply{}, nil
+	}
+	return &mesh.ProveReply{Known: true, Member: proof.Member, Position: proof.Position, Lags: proof.Lags}, nil
+}
--- a/host/control.go
+++ b/host/control.go
@@ -16,6 +16,7 @@
 	"tamarackcross/event"
 	"tamarackcross/ledger"
 	"tamarackcross/mesh"
+	"tamarackcross/proxy"
 	"tamarackcross/raft"
 	"tamarackcross/roster"
 	"tamarackcross/stats"
@@ -27,6 +28,7 @@
 	Decode   DecodeFunc
 	Promoter Promoter // nil if the platform has no such duty
 	Members  MemberCalls
+	Dialer   proxy.Dialer
 	Now      func() time.Time
 	Log      *event.Log
 	Stats    *stats.Registry
@@ -48,6 +50,7 @@
 	http     *http.Server
 
 	mu      sync.Mutex
+	probes  *proxy.Server // probes for entries; nil until one asks
 	entries map[string]entryReport
 	doc     *config.Document
 
@@ -60,6 +63,8 @@
 // entryReport is the newest report of an entry.
 type entryReport struct {
 	zone     string
+	serves   bool
+	probes   bool
 	at       time.Time
 	troubles []mesh.Observation
 }
@@ -88,7 +93,8 @@
 	}
 	c.links = newLinks(s.Peer, p.Now, p.Log)
 	c.links.request = func() mesh.SyncRequest {
-		return mesh.SyncRequest{Name: s.Name, Zone: s.Zone, Config: ^uint64(0)}
+		troubles, probes := c.troubles()
+		return mesh.SyncRequest{Name: s.Name, Zone: s.Zone, Config: ^uint64(0), Probes: probes, Troubles: troubles}
 	}
 	c.links.accept = c.accept
 	c.links.seek(c.ctx, s.Seeds)
@@ -132,6 +138,12 @@
 	err := c.http.Close()
 	c.links.close()
 	<-c.duty
+	c.mu.Lock()
+	probes := c.probes
+	c.mu.Unlock()
+	if probes != nil {
+		probes.Close()
+	}
 	return errors.Join(err, c.node.Close())
 }
 
@@ -194,7 +206,7 @@
 		}
 		entries, revision, newEntries := c.roster.Since(seen)
 		reply := &mesh.SyncReply{
-			Boot: c.boot, Revision: revision, Entries: entries, Control: c.controlAddrs(), Instances: c.instances(),
+			Boot: c.boot, Revision: revision, Entries: entries, Control: c.controlAddrs(), Instances: c.instances(), Zone: c.settings.Zone,
 		}
 		if stored.Version > in.Config {
 			reply.Version, reply.Config = stored.Version, stored.Body
@@ -215,16 +227,70 @@
 
 // report records what an entry observes.
 func (c *Controller) report(in *mesh.SyncRequest) {
-	if !in.Serves {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.entries[in.Name] = entryReport{zone: in.Zone, at: c.parts.Now(), troubles: in.Troubles}
+	c.entries[in.Name] = entryReport{
+		zone: in.Zone, serves: in.Serves, probes: in.Probes, at: c.parts.Now(), troubles: in.Troubles,
+	}
 }
 
 // instances counts the entries that report.
-func (c *Controller) instances() int { return len(c.reports()) }
+func (c *Controller) instances() int {
+	n := 0
+	for _, r := range c.reports() {
+		if r.serves {
+			n++
+		}
+	}
+	return n
+}
+
+// prober returns the part that probes backend servers for entries. It is made
+// when the first one asks.
+func (c *Controller) prober() *proxy.Server {
+	doc := c.document()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.probes == nil {
+		c.parts.Log.Info().Msg("backend servers are probed for entries")
+		c.probes = proxy.New(c.parts.Dialer, c.roster, proxy.WithZone(c.settings.Zone), proxy.WithClock(c.parts.Now),
+			proxy.WithLog(c.parts.Log), proxy.WithSeed(c.parts.Seed))
+	}
+	if doc != nil {
+		c.probes.Configure(doc)
+	}
+	return c.probes
+}
+
+// troubles lists the backend servers that do not answer this instance, if it
+// probes.
+func (c *Controller) troubles() ([]mesh.Observation, bool) {
+	c.mu.Lock()
+	p := c.probes
+	c.mu.Unlock()
+	if p == nil {
+		return nil, false
+	}
+	var out []mesh.Observation
+	for _, t := range p.Troubles() {
+		out = append(out, mesh.Observation(t))
+	}
+	return out, true
+}
+
+// observers returns the reports of all who probe, this instance among them.
+func (c *Controller) observers() map[string]entryReport {
+	out := c.reports()
+	for name, r := range out {
+		if !r.probes {
+			delete(out, name)
+		}
+	}
+	if troubles, ok := c.troubles(); ok {
+		out[c.settings.Name] = entryReport{zone: c.settings.Zone, probes: true, troubles: troubles}
+	}
+	return out
+}
 
 // reports returns the reports of the entries that are live.
 func (c *Controller) reports() map[string]entryReport {
--- a/host/duty.go
+++ b/host/duty.go
@@ -121,7 +121,7 @@
 	if s.services == nil {
 		s.services = make(map[string]*duty.Supervisor)
 	}
-	reports := s.c.reports()
+	reports := s.c.observers()
 	for name, cfg := range doc.Services {
 		sup := s.services[name]
 		if sup == nil {
--- a/host/entry.go
+++ b/host/entry.go
@@ -36,6 +36,7 @@
 	server   *proxy.Server
 	links    *links
 	peers    peerCount
+	proofs   *proofs
 	callers  net.Listener
 	probe    *http.Server
 	leaving  atomic.Bool
@@ -69,8 +70,9 @@
 	}
 	e.peers.count(assumedPeers, p.Now())
 	e.callers = l
-	e.server = proxy.New(p.Dialer, e.roster, opts...)
 	e.links = newLinks("", p.Now, p.Log)
+	e.proofs = &proofs{links: e.links, zone: s.Zone, clients: make(map[string]*mesh.Client)}
+	e.server = proxy.New(p.Dialer, e.roster, append(opts, proxy.WithProver(e.proofs))...)
 	e.links.request, e.links.accept = e.request, e.accept
 	e.links.seek(e.ctx, s.Seeds)
 	e.probe = &http.Server{Handler: p.Ready(e.Ready), ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
@@ -120,7 +122,7 @@
 
 // request tells control what this instance has.
 func (e *Entry) request() mesh.SyncRequest {
-	in := mesh.SyncRequest{Name: e.settings.Name, Zone: e.settings.Zone, Serves: true, Config: e.server.Version()}
+	in := mesh.SyncRequest{Name: e.settings.Name, Zone: e.settings.Zone, Serves: true, Probes: e.server.Probes(), Config: e.server.Version()}
 	for _, t := range e.server.Troubles() {
 		in.Troubles = append(in.Troubles, mesh.Observation(t))
 	}
@@ -206,4 +208,5 @@
 	_ = e.probe.Close()
 	e.links.close()
 	e.server.Close()
+	e.proofs.close()
 }
--- a/host/links.go
+++ b/host/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,7 @@
 	answer time.Time // last answer, or its start
 	boot   uint64
 	seen   uint64
+	zone   string
 }
 
 func newLinks(self string, now func() time.Time, log *event.Log) *links {
@@ -128,11 +130,32 @@
 		return nil, err
 	}
 	l.mu.Lock()
-	k.answer, k.boot, k.seen = l.now(), reply.Boot, reply.Revision
+	k.answer, k.boot, k.seen, k.zone = l.now(), reply.Boot, reply.Revision, reply.Zone
 	l.mu.Unlock()
 	return reply, nil
 }
 
+// nearest returns the address of a control instance that answers, in the own zone
+// if there is one.
+func (l *links) nearest(zone string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now, best := l.now(), ""
+	for _, addr := range slices.Sorted(maps.Keys(l.byAddr)) {
+		k := l.byAddr[addr]
+		if k.boot == 0 || now.Sub(k.answer) > syncLimit {
+			continue
+		}
+		if k.zone == zone {
+			return addr
+		}
+		if best == "" {
+			best = addr
+		}
+	}
+	return best
+}
+
 // majority reports whether more than half of the control instances answered
 // within d. It holds while none is known.
 func (l *links) majority(d time.Duration) bool {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 
+	"tamarackcross/group"
 	"tamarackcross/roster"
 )
 
@@ -33,6 +34,7 @@
 	Name     string
 	Zone     string
 	Serves   bool // the instance serves callers
+	Probes   bool // the instance probes backend servers, so that Troubles says something
 	Config   uint64
 	Boot     uint64 // of the receiver, as far as known
 	Revision uint64 // newest revision of the roster of the receiver that was taken in
@@ -49,6 +51,18 @@
 	Entries   []roster.Entry
 	Control   []string // addresses of the control members
 	Instances int      // instances that serve callers
+	Zone      string   // of the receiver
+}
+
+// ProveRequest asks for a proof of the primary of a service that begins now.
+type ProveRequest struct{ Service string }
+
+// ProveReply carries it. Known is false if no member proved to be the primary.
+type ProveReply struct {
+	Known    bool
+	Member   string
+	Position group.Position
+	Lags     map[string]time.Duration
 }
 
 // PutRequest asks the leader to store a configuration.
@@ -79,13 +93,15 @@
 	Sync(ctx context.Context, in *SyncRequest) (*SyncReply, error)
 	Put(ctx context.Context, in *PutRequest) (*PutReply, error)
 	Get(ctx context.Context, in *GetRequest) (*GetReply, error)
+	Prove(ctx context.Context, in *ProveRequest) (*ProveReply, error)
 }
 
 // The names of the calls.
 const (
-	callSync = "/mesh.Control/Sync"
-	callPut  = "/mesh.Control/Put"
-	callGet  = "/mesh.Control/Get"
+	callSync  = "/mesh.Control/Sync"
+	callPut   = "/mesh.Control/Put"
+	callGet   = "/mesh.Control/Get"
+	callProve = "/mesh.Control/Prove"
 )
 
 // encoding is compressed JSON: a configuration of hundreds of routes must pass a
@@ -148,7 +164,7 @@
 type description struct{}
 
 // NumMethods returns the number of calls.
-func (description) NumMethods() int { return 3 }
+func (description) NumMethods() int { return 4 }
 
 // Method describes one call.
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -159,6 +175,8 @@
 		return callPut, encoding{}, receiver(Handler.Put), Handler.Put, true
 	case 2:
 		return callGet, encoding{}, receiver(Handler.Get), Handler.Get, true
+	case 3:
+		return callProve, encoding{}, receiver(Handler.Prove), Handler.Prove, true
 	default:
 		return "", nil, nil, nil, false
 	}
@@ -251,3 +269,9 @@
 	out := new(GetReply)
 	return out, c.call(ctx, callGet, in, out)
 }
+
+// Prove asks for a proof.
+func (c *Client) Prove(ctx context.Context, in *ProveRequest) (*ProveReply, error) {
+	out := new(ProveReply)
+	return out, c.call(ctx, callProve, in, out)
+}
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -22,6 +22,8 @@
 	// extraIdle is how long a connection beyond the equal share may stay unused, so
 	// that other instances find room.
 	extraIdle = time.Second
+	// scarceIdle is the same where connections are scarce.
+	scarceIdle = 300 * time.Millisecond
 	// firstLag is assumed of a replica before anything is known.
 	firstLag = 200 * time.Millisecond
 	// lagMargin is added to the lag that was seen, since it is a lower bound.
@@ -232,6 +234,9 @@
 	if len(m.idle) > m.quota.share/2 {
 		limit = extraIdle
 	}
+	if m.quota.share <= scarceConns {
+		limit = scarceIdle
+	}
 	m.idle = slices.DeleteFunc(m.idle, func(c *backendConn) bool {
 		if now.Sub(c.used) < limit {
 			return false
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -61,6 +61,11 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
+		if p.v.isShared() {
+			p.drop()
+			timer.Reset(sharedInterval)
+			continue
+		}
 		pause := p.v.probePause()
 		if p.probe(ctx); p.conn == nil {
 			pause = max(pause, crowdedPause)
@@ -163,6 +168,10 @@
 
 // kickLocked probes the primary, or every member while none is known.
 func (v *service) kickLocked() {
+	if v.shared {
+		v.asker.kick()
+		return
+	}
 	if m := v.members[v.primary]; m != nil && m.failingFor(v.srv.now()) == 0 {
 		m.prober.kick()
 		return
@@ -195,7 +204,7 @@
 	v.sample(timedPosition{at: at, position: p})
 	for w := range v.waiting {
 		if w.asked.After(at) {
-			m.prober.kick()
+			v.kickLocked()
 			continue
 		}
 		w.done <- proof{member: m, at: at, position: p}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -23,13 +23,14 @@
 	// after 2 s.
 	greetLimit = 2 * time.Second
 	// upkeepInterval is between looks at idle connections.
-	upkeepInterval = time.Second
+	upkeepInterval = 500 * time.Millisecond
 )
 
 // Server serves callers on one instance.
 type Server struct {
 	zone   string
 	dialer Dialer
+	prover Prover // nil if the instance always probes itself
 	roster *roster.Table
 	now    func() time.Time
 	log    *event.Log
@@ -151,7 +152,10 @@
 	}
 	now := s.now()
 	for name, cfg := range doc.Services {
-		s.service(name).refresh(s.roster.Members(name), shareOf(cfg, int(s.instances.Load())), now)
+		n := int(s.instances.Load())
+		v := s.service(name)
+		v.setShared(s.prover != nil && scarce(cfg, n))
+		v.refresh(s.roster.Members(name), shareOf(cfg, n), now)
 	}
 }
 
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -33,6 +33,9 @@
 	probeConns = 1
 	// minConns lets an instance go on beside a transaction that rests.
 	minConns = 2
+	// scarceConns is the share where there are not enough connections for all:
+	// each is opened when it is needed.
+	scarceConns = 1
 )
 
 // service is what an instance knows about one group of backend servers.
@@ -48,6 +51,8 @@
 	samples  route.Samples
 	sampled  []timedPosition // the same samples with their times
 	waiting  map[*proofWaiter]struct{}
+	shared   bool // control probes for this instance
+	asker    *asker
 	usual    map[string]*usual // by database
 	breakers *retry.Group
 	rnd      *rand.Rand
@@ -75,6 +80,8 @@
 		rnd:      rand.New(rand.NewPCG(s.seed, uint64(len(name)))),
 	}
 	v.raiseTerm(1)
+	v.asker = newAsker(v)
+	go func() { v.asker.done <- v.asker.run(v.ctx) }()
 	return v
 }
 
@@ -85,6 +92,17 @@
 	}
 }
 
+// setShared tells whether control probes for this instance.
+func (v *service) setShared(shared bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.shared != shared {
+		v.log.Info().Bool("shared", shared).Msg("way of proving primaries changed")
+		v.shared = shared
+		v.asker.kick()
+	}
+}
+
 // relist updates the members and returns those that are no longer used.
 func (v *service) relist(entries []roster.Entry, slots int, now time.Time) (closing []*member) {
 	v.mu.Lock()
@@ -127,6 +145,9 @@
 	if cfg.MaxConns <= 0 {
 		return 4
 	}
+	if scarce(cfg, n) {
+		return scarceConns
+	}
 	return max(minConns, (cfg.MaxConns-reservedConns)/max(1, n)-probeConns)
 }
 
@@ -362,4 +383,5 @@
 	for _, m := range v.relist(nil, 0, v.srv.now()) {
 		m.close()
 	}
+	<-v.asker.done
 }
--- a/proxy/service_test.go
+++ b/proxy/service_test.go
@@ -17,6 +17,7 @@
 	now := time.Unix(1000, 0)
 	s := &Server{now: func() time.Time { return now }, log: event.Nop()}
 	v := &service{srv: s, log: s.log, members: map[string]*member{}, waiting: map[*proofWaiter]struct{}{}, breakers: retry.NewGroup(1)}
+	v.asker = newAsker(v)
 	m := newMember(t.Context(), nil, roster.Entry{ID: "m2"}, 4, s.now)
 	primary := newMember(t.Context(), nil, roster.Entry{ID: "m1"}, 4, s.now)
 	primary.prober = newProber(v, primary)
