--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,66 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackcross/ledger"
+)
+
+func apply(t *testing.T, l *ledger.Ledger, index uint64, c ledger.Command) any {
+	t.Helper()
+	data, err := ledger.Encode(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l.Apply(index, data)
+}
+
+// TestVersions guards the rules of versions: the highest stays, one that is not
+// higher is acknowledged and changes nothing, also with other content.
+func TestVersions(t *testing.T) {
+	l := ledger.New()
+	var got []any
+	for i, c := range []ledger.PutConfig{
+		{Version: 5, Body: []byte("five")}, {Version: 3, Body: []byte("three")},
+		{Version: 5, Body: []byte("other")}, {Version: 9, Body: []byte("nine")},
+	} {
+		got = append(got, apply(t, l, uint64(i+1), c))
+	}
+	want := []any{
+		ledger.Stored{Version: 5, Changed: true}, ledger.Stored{Version: 5}, ledger.Stored{Version: 5},
+		ledger.Stored{Version: 9, Changed: true},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// TestTokens guards that no two orders share a token and that tokens rise, also
+// after a restart from a snapshot.
+func TestTokens(t *testing.T) {
+	l := ledger.New()
+	first := apply(t, l, 4, ledger.OrderPromotion{Service: "s", Target: "a"})
+	apply(t, l, 5, ledger.PutConfig{Version: 2, Body: []byte("two")})
+	restored := ledger.New()
+	if err := restored.Restore(l.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	second := apply(t, restored, 6, ledger.OrderPromotion{Service: "s", Target: "b"})
+	if diff := cmp.Diff([]any{ledger.Ordered{Token: 4}, ledger.Ordered{Token: 6}}, []any{first, second}); diff != "" {
+		t.Fatal(diff)
+	}
+	cfg, _ := restored.Config()
+	order, _ := restored.Order("s")
+	if cfg.Version != 2 || string(cfg.Body) != "two" || order != (ledger.Order{Target: "b", Token: 6}) {
+		t.Fatalf("restored %+v and %+v", cfg, order)
+	}
+}
+
+// TestDamagedCommand guards that an entry that cannot be read has a result.
+func TestDamagedCommand(t *testing.T) {
+	if _, ok := ledger.New().Apply(1, []byte("{")).(ledger.Failed); !ok {
+		t.Fatal("a damaged entry was applied")
+	}
+}
