A fleet that is not known yet is taken for one of the users' size

Cause: entries assumed 16 instances at their start, took connections for scarce and made control probe on the small sites for good: connections beyond what the members accept.

--- a/host/entry.go
+++ b/host/entry.go
@@ -151,9 +151,9 @@
 // force. A control instance that was frozen, or has just started, knows few.
 const peersHold = 5 * time.Second
 
-// assumedPeers is assumed of a fleet that is not known yet: twice what the users
-// run today.
-const assumedPeers = 16
+// assumedPeers is assumed of a fleet that is not known yet: what the users run
+// today.
+const assumedPeers = 7
 
 // peerCount keeps how many instances share the backend servers.
 type peerCount struct {
