--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -23,13 +23,17 @@
 	l := ledger.New()
 	var got []any
 	for i, c := range []ledger.PutConfig{
-		{Version: 5, Body: []byte("five")}, {Version: 3, Body: []byte("three")},
-		{Version: 5, Body: []byte("other")}, {Version: 9, Body: []byte("nine")},
+		{Version: 5, Body: []byte("five")},
+		{Version: 3, Body: []byte("three")},
+		{Version: 5, Body: []byte("other")},
+		{Version: 9, Body: []byte("nine")},
 	} {
 		got = append(got, apply(t, l, uint64(i+1), c))
 	}
 	want := []any{
-		ledger.Stored{Version: 5, Changed: true}, ledger.Stored{Version: 5}, ledger.Stored{Version: 5},
+		ledger.Stored{Version: 5, Changed: true},
+		ledger.Stored{Version: 5},
+		ledger.Stored{Version: 5},
 		ledger.Stored{Version: 9, Changed: true},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
