--- a/admit/admit.go
+++ b/admit/admit.go
@@ -28,6 +28,9 @@
 	Arrived  time.Time
 	Deadline time.Time
 	Expected time.Duration
+	// Priority orders requests of one class: 0 goes first. Work of a lower priority
+	// starts when none of a higher one waits.
+	Priority int
 }
 
 // Decision is the outcome for one request: Start or Refuse. Each request
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -37,8 +37,8 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var n int
 			var id uint64
-			caller, dl, exp := "a", 1000, 10
-			for key, dst := range map[string]any{"n": &n, "id": &id, "caller": &caller, "deadline": &dl, "expected": &exp} {
+			caller, dl, exp, prio := "a", 1000, 10, 0
+			for key, dst := range map[string]any{"n": &n, "id": &id, "caller": &caller, "deadline": &dl, "expected": &exp, "priority": &prio} {
 				d.MaybeScanArgs(t, key, dst)
 			}
 			ms := time.Millisecond
@@ -46,11 +46,20 @@
 			case "new":
 				q = admit.New(admit.WithSlots(n))
 			case "offer":
-				r := admit.Request{ID: id, Caller: caller, Arrived: now, Deadline: now.Add(time.Duration(dl) * ms), Expected: time.Duration(exp) * ms}
+				r := admit.Request{ID: id, Caller: caller, Arrived: now, Deadline: now.Add(time.Duration(dl) * ms), Expected: time.Duration(exp) * ms, Priority: prio}
 				if d.HasArg("long") {
 					r.Class = admit.Long
 				}
 				return render(q.Offer(r, now))
+			case "crest":
+				for k := range n {
+					r := admit.Request{
+						ID: uint64(1000 + k), Caller: fmt.Sprint("crest", k), Arrived: now, Deadline: now.Add(time.Duration(dl) * ms),
+						Expected: time.Duration(exp) * ms, Priority: prio,
+					}
+					q.Offer(r, now)
+				}
+				return ""
 			case "done":
 				return render(q.Done(id, time.Duration(exp)*ms, now))
 			case "cancel":
@@ -161,7 +170,7 @@
 				next++
 				r := admit.Request{
 					ID: next, Caller: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"),
-					Arrived: m.now, Deadline: m.now.Add(ms(0, 400)), Expected: ms(0, 40),
+					Arrived: m.now, Deadline: m.now.Add(ms(0, 400)), Expected: ms(0, 40), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
 				}
 				if rapid.IntRange(0, 3).Draw(t, "long") == 0 {
 					r.Class, r.Expected = admit.Long, 5*r.Expected
--- a/admit/lane.go
+++ b/admit/lane.go
@@ -26,24 +26,31 @@
 
 func newer(a, b *item) bool { return a.seq > b.seq }
 
-// flow holds the waiting requests of one caller in one class.
+// flowKey names a flow.
+type flowKey struct {
+	caller   string
+	priority int
+}
+
+// flow holds the waiting requests of one caller in one class and priority.
 type flow struct {
-	caller string
-	seq    uint64        // of the request that made the caller wait
-	tag    time.Duration // virtual time at which the flow may start its next request
-	work   time.Duration // sum of the costs that wait
-	items  heap[*item]
-	at     int
+	key   flowKey
+	seq   uint64        // of the request that made the caller wait
+	tag   time.Duration // virtual time at which the flow may start its next request
+	work  time.Duration // sum of the costs that wait
+	items heap[*item]
+	at    int
 }
 
-// lane holds the waiting requests of one class. Callers share it by start-time
-// fair queueing: the caller with the smallest tag starts next, and its tag then
+// lane holds the waiting requests of one class. Callers of the highest priority that
+// waits share it by start-time fair queueing: the caller with the smallest tag starts next, and its tag then
 // advances by the cost of the request. A caller that starts to wait enters at
 // the current virtual time, so a flood of another caller is not ahead of it.
 type lane struct {
 	order   Order
 	maxWait time.Duration
-	flows   map[string]*flow
+	flows   map[flowKey]*flow
+	levels  map[int]level // by priority
 	active  heap[*flow]
 	virtual time.Duration
 	work    time.Duration // sum of the costs that wait
@@ -57,12 +64,44 @@
 
 func (l *lane) init(order Order) {
 	l.order = order
-	l.flows = make(map[string]*flow)
+	l.flows = make(map[flowKey]*flow)
+	l.levels = make(map[int]level)
 	l.active = heap[*flow]{less: earlier, place: func(f *flow, at int) { f.at = at }}
 	l.speed.init()
 }
 
+// level sums up what waits in one priority.
+type level struct {
+	work    time.Duration
+	waiting int
+}
+
+// upTo sums up what waits in priority p and higher ones.
+func (l *lane) upTo(p int) level {
+	var out level
+	for priority, v := range l.levels {
+		if priority <= p {
+			out.work += v.work
+			out.waiting += v.waiting
+		}
+	}
+	return out
+}
+
+func (l *lane) count(i *item, n int) {
+	p := i.req.Priority
+	v := l.levels[p]
+	v.work += time.Duration(n) * i.cost
+	v.waiting += n
+	if l.levels[p] = v; v.waiting == 0 {
+		delete(l.levels, p)
+	}
+}
+
 func earlier(a, b *flow) bool {
+	if a.key.priority != b.key.priority {
+		return a.key.priority < b.key.priority
+	}
 	if a.tag == b.tag {
 		return a.seq < b.seq
 	}
@@ -91,11 +130,12 @@
 	if l.waiting == 0 {
 		l.since = now
 	}
-	f := l.flows[i.req.Caller]
+	key := flowKey{caller: i.req.Caller, priority: i.req.Priority}
+	f := l.flows[key]
 	if f == nil {
 		f = l.newFlow()
-		f.caller, f.tag, f.seq = i.req.Caller, l.virtual, i.seq
-		l.flows[f.caller] = f
+		f.key, f.tag, f.seq = key, l.virtual, i.seq
+		l.flows[key] = f
 		l.active.push(f)
 	}
 	i.flow = f
@@ -103,6 +143,7 @@
 	f.work += i.cost
 	l.work += i.cost
 	l.waiting++
+	l.count(i, 1)
 }
 
 func (l *lane) drop(i *item) {
@@ -112,12 +153,13 @@
 	f.work -= i.cost
 	l.work -= i.cost
 	l.waiting--
+	l.count(i, -1)
 	if f.items.len() > 0 {
 		return
 	}
 	l.active.remove(f.at)
-	delete(l.flows, f.caller)
-	f.caller = ""
+	delete(l.flows, f.key)
+	f.key = flowKey{}
 	l.free = append(l.free, f)
 }
 
@@ -133,7 +175,7 @@
 func (l *lane) take() *item {
 	i := l.head()
 	f := i.flow
-	l.virtual = f.tag
+	l.virtual = max(l.virtual, f.tag)
 	f.tag += i.cost
 	l.active.fix(f.at)
 	l.drop(i)
@@ -152,7 +194,7 @@
 // equal part, so that one caller cannot use up the memory of the others.
 func (l *lane) crowded(i *item, slots int) bool {
 	limit := l.limit(slots)
-	if l.waiting <= limit/2 {
+	if l.upTo(i.req.Priority).waiting <= limit/2 && l.waiting <= 4*limit {
 		return false
 	}
 	part := max(1, limit/2/l.active.len())
@@ -168,7 +210,7 @@
 		own = i.cost
 	}
 	turns := own * time.Duration(l.active.len())
-	return min(l.work, turns) - i.cost
+	return min(l.upTo(i.req.Priority).work, turns) - i.cost
 }
 
 // wait converts work ahead into time, given the number of slots that serve it.
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -138,6 +138,16 @@
 	return q.out
 }
 
+// Wait returns how long a request of a class and priority that came now would wait
+// for its start.
+func (q *Queue) Wait(c Class, priority int) time.Duration {
+	if q.Running() < q.slots {
+		return 0
+	}
+	l := &q.lanes[c]
+	return l.wait(l.upTo(priority).work, q.serving(c))
+}
+
 // Next returns when Tick is next useful, or the zero time if no request waits.
 func (q *Queue) Next(time.Time) time.Time {
 	if q.expiry.len() == 0 {
--- a/errs/errs.go
+++ b/errs/errs.go
@@ -38,6 +38,7 @@
 	ReasonBackendLost    Reason = "backend_lost"     // the connection to the backend server broke
 	ReasonBackendSilent  Reason = "backend_silent"   // the backend server sent nothing for too long
 	ReasonConnect        Reason = "connect"          // no connection could be opened
+	ReasonInstanceLost   Reason = "instance_lost"    // the instance that the request was passed on to did not answer
 	ReasonBelowBound     Reason = "below_bound"      // the answer was older than the bound
 	ReasonNoMajority     Reason = "no_majority"      // a commit was not confirmed by a majority in time
 	ReasonKeyReuse       Reason = "key_reuse"        // an idempotency key came with another statement
--- a/event/event.go
+++ b/event/event.go
@@ -35,6 +35,7 @@
 	NeedAge   = "need_age_ms" // since the primary held that position
 	Lag       = "lag_ms"      // estimated, of the member
 	Version   = "version"     // of the configuration
+	Holder    = "holder"      // instance that a request was passed on to
 )
 
 // Outcomes of a request.
--- a/host/control.go
+++ b/host/control.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,7 +52,8 @@
 	http     *http.Server
 
 	mu      sync.Mutex
-	probes  *proxy.Server // probes for entries; nil until one asks
+	probes  *proxy.Server // probes for entries; nil while none asks
+	asked   time.Time     // last proof that an entry asked for
 	entries map[string]entryReport
 	doc     *config.Document
 
@@ -64,7 +67,9 @@
 type entryReport struct {
 	zone     string
 	serves   bool
-	probes   bool
+	addr     string
+	leaving  bool
+	probed   []string
 	at       time.Time
 	troubles []mesh.Observation
 }
@@ -93,8 +98,8 @@
 	}
 	c.links = newLinks(s.Peer, p.Now, p.Log)
 	c.links.request = func() mesh.SyncRequest {
-		troubles, probes := c.troubles()
-		return mesh.SyncRequest{Name: s.Name, Zone: s.Zone, Config: ^uint64(0), Probes: probes, Troubles: troubles}
+		troubles, probed := c.troubles()
+		return mesh.SyncRequest{Name: s.Name, Zone: s.Zone, Config: ^uint64(0), Probed: probed, Troubles: troubles}
 	}
 	c.links.accept = c.accept
 	c.links.seek(c.ctx, s.Seeds)
@@ -208,6 +213,11 @@
 		reply := &mesh.SyncReply{
 			Boot: c.boot, Revision: revision, Entries: entries, Control: c.controlAddrs(), Instances: c.instances(), Zone: c.settings.Zone,
 		}
+		if peers := c.peersIn(in.Zone); in.Serves {
+			if reply.Digest = mesh.Digest(peers); reply.Digest != in.Peers {
+				reply.Peers = peers
+			}
+		}
 		if stored.Version > in.Config {
 			reply.Version, reply.Config = stored.Version, stored.Body
 		}
@@ -230,7 +240,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.entries[in.Name] = entryReport{
-		zone: in.Zone, serves: in.Serves, probes: in.Probes, at: c.parts.Now(), troubles: in.Troubles,
+		zone: in.Zone, serves: in.Serves, addr: in.Addr, leaving: in.Leaving, probed: in.Probed,
+		at: c.parts.Now(), troubles: in.Troubles,
 	}
 }
 
@@ -245,12 +256,28 @@
 	return n
 }
 
+// peersIn lists the entries of a zone that take requests from others.
+func (c *Controller) peersIn(zone string) []mesh.Peer {
+	var out []mesh.Peer
+	for name, r := range c.reports() {
+		if r.serves && !r.leaving && r.zone == zone && r.addr != "" {
+			out = append(out, mesh.Peer{Name: name, Addr: r.addr})
+		}
+	}
+	slices.SortFunc(out, func(a, b mesh.Peer) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// probesIdle is how long control probes on after an entry last asked for a proof.
+const probesIdle = 5 * time.Second
+
 // prober returns the part that probes backend servers for entries. It is made
 // when the first one asks.
 func (c *Controller) prober() *proxy.Server {
 	doc := c.document()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.asked = c.parts.Now()
 	if c.probes == nil {
 		c.parts.Log.Info().Msg("backend servers are probed for entries")
 		c.probes = proxy.New(c.parts.Dialer, c.roster, proxy.WithZone(c.settings.Zone), proxy.WithClock(c.parts.Now),
@@ -264,30 +291,40 @@
 
 // troubles lists the backend servers that do not answer this instance, if it
 // probes.
-func (c *Controller) troubles() ([]mesh.Observation, bool) {
-	c.mu.Lock()
-	p := c.probes
-	c.mu.Unlock()
+func (c *Controller) troubles() ([]mesh.Observation, []string) {
+	p := c.probing()
 	if p == nil {
-		return nil, false
+		return nil, nil
 	}
 	var out []mesh.Observation
 	for _, t := range p.Troubles() {
 		out = append(out, mesh.Observation(t))
 	}
-	return out, true
+	return out, p.Probed()
+}
+
+// probing returns the part that probes for entries, or nil. It ends the part when no
+// entry has asked for long: its connections are needed for statements.
+func (c *Controller) probing() *proxy.Server {
+	c.mu.Lock()
+	p, idle := c.probes, c.parts.Now().Sub(c.asked) > probesIdle
+	if idle {
+		c.probes = nil
+	}
+	c.mu.Unlock()
+	if p != nil && idle {
+		c.parts.Log.Info().Msg("backend servers are no longer probed for entries")
+		p.Close()
+		return nil
+	}
+	return p
 }
 
 // observers returns the reports of all who probe, this instance among them.
 func (c *Controller) observers() map[string]entryReport {
 	out := c.reports()
-	for name, r := range out {
-		if !r.probes {
-			delete(out, name)
-		}
-	}
-	if troubles, ok := c.troubles(); ok {
-		out[c.settings.Name] = entryReport{zone: c.settings.Zone, probes: true, troubles: troubles}
+	if troubles, probed := c.troubles(); len(probed) > 0 {
+		out[c.settings.Name] = entryReport{zone: c.settings.Zone, probed: probed, troubles: troubles}
 	}
 	return out
 }
--- a/host/duty.go
+++ b/host/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -128,7 +129,7 @@
 			sup = duty.New(now)
 			s.services[name] = sup
 		}
-		look := duty.Look{Instances: len(reports), Sync: cfg.SyncReplicas}
+		look := duty.Look{Instances: probing(reports, name), Sync: cfg.SyncReplicas}
 		for _, e := range s.c.roster.Members(name) {
 			look.Members = append(look.Members, duty.Member{
 				ID: e.ID, Primary: e.Primary, Draining: e.State == roster.Draining, Failing: failing(reports, name, e.ID),
@@ -138,6 +139,17 @@
 	}
 }
 
+// probing counts the instances that probe the members of a service.
+func probing(reports map[string]entryReport, service string) int {
+	n := 0
+	for _, r := range reports {
+		if slices.Contains(r.probed, service) {
+			n++
+		}
+	}
+	return n
+}
+
 // failing counts the entries that have had no answer from a member.
 func failing(reports map[string]entryReport, service, id string) int {
 	n := 0
--- a/host/entry.go
+++ b/host/entry.go
@@ -9,9 +9,13 @@
 	"sync/atomic"
 	"time"
 
+	"storj.io/drpc/drpcmux"
+
+	"tamarackcross/ctrl"
 	"tamarackcross/event"
 	"tamarackcross/mesh"
 	"tamarackcross/proxy"
+	"tamarackcross/relay"
 	"tamarackcross/roster"
 	"tamarackcross/stats"
 )
@@ -37,6 +41,7 @@
 	links    *links
 	peers    peerCount
 	proofs   *proofs
+	relays   *relay.Links
 	callers  net.Listener
 	probe    *http.Server
 	leaving  atomic.Bool
@@ -52,10 +57,10 @@
 
 // StartEntry starts the entry role.
 func StartEntry(s Settings, p EntryParts) (*Entry, error) {
-	e := &Entry{settings: s, parts: p, roster: roster.New(), ended: make(chan error, 2)}
+	e := &Entry{settings: s, parts: p, roster: roster.New(), ended: make(chan error, 3)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	opts := []proxy.Option{
-		proxy.WithZone(s.Zone), proxy.WithClock(p.Now), proxy.WithLog(p.Log), proxy.WithStats(p.Stats), proxy.WithSeed(p.Seed),
+		proxy.WithName(s.Name), proxy.WithZone(s.Zone), proxy.WithZones(s.Zones), proxy.WithClock(p.Now), proxy.WithLog(p.Log), proxy.WithStats(p.Stats), proxy.WithSeed(p.Seed),
 	}
 	if s.MaxFiles > 0 {
 		opts = append(opts, proxy.WithMaxSessions(int(float64(s.MaxFiles)/filesPerSession)))
@@ -68,16 +73,26 @@
 	if err != nil {
 		return nil, errors.Join(err, l.Close())
 	}
+	rl, err := mesh.Listen(e.ctx, s.Peer)
+	if err != nil {
+		return nil, errors.Join(err, l.Close(), pl.Close())
+	}
+	mux := drpcmux.New()
+	if err := relay.Register(mux, holderCalls{e}); err != nil {
+		return nil, errors.Join(err, l.Close(), pl.Close(), rl.Close())
+	}
 	e.peers.count(assumedPeers, p.Now())
 	e.callers = l
 	e.links = newLinks("", p.Now, p.Log)
 	e.proofs = &proofs{links: e.links, zone: s.Zone, clients: make(map[string]*mesh.Client)}
-	e.server = proxy.New(p.Dialer, e.roster, append(opts, proxy.WithProver(e.proofs))...)
+	e.relays = relay.NewLinks(mesh.Dial)
+	e.server = proxy.New(p.Dialer, e.roster, append(opts, proxy.WithProver(e.proofs), proxy.WithLinks(e.relays))...)
 	e.links.request, e.links.accept = e.request, e.accept
 	e.links.seek(e.ctx, s.Seeds)
 	e.probe = &http.Server{Handler: p.Ready(e.Ready), ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
 	go func() { e.ended <- e.server.Serve(e.ctx, l, p.Open) }()
 	go func() { e.ended <- serveHTTP(e.probe, pl) }()
+	go func() { e.ended <- ctrl.Serve(e.ctx, rl, mux) }()
 	return e, nil
 }
 
@@ -107,9 +122,9 @@
 }
 
 // isolatedAfter is how long neither a majority of control nor the primaries of
-// most services may answer before the instance counts as cut off: several probes
-// and exchanges, each of which takes 400 ms.
-const isolatedAfter = 1200 * time.Millisecond
+// most services may answer before the instance counts as cut off: two probes and
+// exchanges, each of which takes 400 ms.
+const isolatedAfter = 900 * time.Millisecond
 
 // isolated reports whether the instance is cut off from what it needs. The loss
 // of control alone, or of primaries alone, is the same for all instances.
@@ -122,7 +137,10 @@
 
 // request tells control what this instance has.
 func (e *Entry) request() mesh.SyncRequest {
-	in := mesh.SyncRequest{Name: e.settings.Name, Zone: e.settings.Zone, Serves: true, Probes: e.server.Probes(), Config: e.server.Version()}
+	in := mesh.SyncRequest{
+		Name: e.settings.Name, Zone: e.settings.Zone, Serves: true, Config: e.server.Version(),
+		Probed: e.server.Probed(), Addr: e.settings.Peer, Leaving: e.leaving.Load(),
+	}
 	for _, t := range e.server.Troubles() {
 		in.Troubles = append(in.Troubles, mesh.Observation(t))
 	}
@@ -136,6 +154,13 @@
 		e.roster.Put(entry, now)
 	}
 	e.server.SetInstances(e.peers.count(r.Instances, now))
+	if peers := e.links.peers(); len(peers) > 0 {
+		list := make([]proxy.Peer, len(peers))
+		for i, p := range peers {
+			list[i] = proxy.Peer(p)
+		}
+		e.server.SetPeers(list)
+	}
 	if r.Version <= e.server.Version() {
 		return
 	}
@@ -209,4 +234,16 @@
 	e.links.close()
 	e.server.Close()
 	e.proofs.close()
+	if err := e.relays.Close(); err != nil {
+		e.parts.Log.Debug().Err(err).Msg("links to other instances ended with an error")
+	}
 }
+
+// holderCalls serves other instances of the zone.
+type holderCalls struct{ e *Entry }
+
+// HandleDelegated serves requests that another instance passes on.
+func (h holderCalls) HandleDelegated(c proxy.Caller) { h.e.server.HandleDelegated(c) }
+
+// Newest returns the newest proof of a service.
+func (h holderCalls) Newest(service string) (proxy.Proof, bool) { return h.e.server.Newest(service) }
--- a/host/host.go
+++ b/host/host.go
@@ -16,6 +16,7 @@
 type Settings struct {
 	Name     string
 	Zone     string
+	Zones    int    // that the deployment has
 	Callers  string // address for callers, with the entry role
 	Ready    string // address for the probe of the platform, with the entry role
 	Control  string // address for backend servers and operators, with the control role
--- a/host/links.go
+++ b/host/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,6 +50,8 @@
 	boot   uint64
 	seen   uint64
 	zone   string
+	digest uint64
+	peers  []mesh.Peer // of the own zone, as the instance names them
 }
 
 func newLinks(self string, now func() time.Time, log *event.Log) *links {
@@ -124,13 +127,16 @@
 	ctx, stop := context.WithTimeout(ctx, syncLimit)
 	defer stop()
 	in := l.request()
-	in.Boot, in.Revision, in.Wait = k.boot, k.seen, syncWait
+	in.Boot, in.Revision, in.Wait, in.Peers = k.boot, k.seen, syncWait, k.digest
 	reply, err := c.Sync(ctx, &in)
 	if err != nil {
 		return nil, err
 	}
 	l.mu.Lock()
 	k.answer, k.boot, k.seen, k.zone = l.now(), reply.Boot, reply.Revision, reply.Zone
+	if reply.Digest != k.digest {
+		k.digest, k.peers = reply.Digest, reply.Peers
+	}
 	l.mu.Unlock()
 	return reply, nil
 }
@@ -156,6 +162,24 @@
 	return best
 }
 
+// peers returns the instances of the own zone that any control instance lists, as of
+// its newest answer. Without answers of late the list is empty.
+func (l *links) peers() []mesh.Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	byName := make(map[string]mesh.Peer)
+	for _, k := range l.byAddr {
+		if k.boot == 0 || now.Sub(k.answer) > syncLimit {
+			continue
+		}
+		for _, p := range k.peers {
+			byName[p.Name] = p
+		}
+	}
+	return slices.SortedFunc(maps.Values(byName), func(a, b mesh.Peer) int { return strings.Compare(a.Name, b.Name) })
+}
+
 // majority reports whether more than half of the control instances answered
 // within d. It holds while none is known.
 func (l *links) majority(d time.Duration) bool {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/twmb/murmur3"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
@@ -33,8 +34,11 @@
 type SyncRequest struct {
 	Name     string
 	Zone     string
-	Serves   bool // the instance serves callers
-	Probes   bool // the instance probes backend servers, so that Troubles says something
+	Serves   bool     // the instance serves callers
+	Probed   []string `json:",omitempty"` // services whose backend servers it probes, so that Troubles says something
+	Addr     string   `json:",omitempty"` // where it takes requests that others pass on
+	Leaving  bool     `json:",omitempty"` // it takes no new callers
+	Peers    uint64   `json:",omitempty"` // digest of the peers of its zone, as far as known
 	Config   uint64
 	Boot     uint64 // of the receiver, as far as known
 	Revision uint64 // newest revision of the roster of the receiver that was taken in
@@ -52,6 +56,20 @@
 	Control   []string // addresses of the control members
 	Instances int      // instances that serve callers
 	Zone      string   // of the receiver
+	Digest    uint64   // of Peers
+	Peers     []Peer   `json:",omitempty"` // of the zone of the requester, if the digest differs
+}
+
+// Peer is an instance that takes requests from others of its zone.
+type Peer struct{ Name, Addr string }
+
+// Digest returns a number that differs between different lists.
+func Digest(peers []Peer) uint64 {
+	h := murmur3.New64()
+	for _, p := range peers {
+		_, _ = io.WriteString(h, p.Name+"\x00"+p.Addr+"\x00") // a hash accepts all
+	}
+	return h.Sum64()
 }
 
 // ProveRequest asks for a proof of the primary of a service that begins now.
@@ -228,8 +246,10 @@
 	}
 }
 
-// dialLimit bounds the opening of a connection between instances.
-const dialLimit = 500 * time.Millisecond
+// dialLimit bounds the opening of a connection between instances. A machine without
+// power answers nothing: a new attempt finds it sooner than the next retransmission
+// of the first, after a second.
+const dialLimit = 200 * time.Millisecond
 
 // call makes one call. A connection on which a call failed is not used again,
 // since it may have gone silent.
--- a/proxy/journal.go
+++ b/proxy/journal.go
@@ -31,7 +31,7 @@
 }
 
 // routed tells which member was chosen, and from what.
-func (w *work) routed(p place) {
+func (w *work) routed(p placement) {
 	if !w.sampled() {
 		return
 	}
@@ -80,7 +80,7 @@
 func (w *work) refused(reason errs.Reason) *Fault {
 	w.session.srv.stats.Refused(reason)
 	w.line(zerolog.InfoLevel).Str(event.Reason, string(reason)).Str(event.Primary, w.svc.primaryID()).
-		Str(event.Code, Busy.String()).Str(event.Outcome, event.NotRun).Msg("settled")
+		Str(event.Freshness, freshnessNames[w.route.Freshness]).Str(event.Code, Busy.String()).Str(event.Outcome, event.NotRun).Msg("settled")
 	return fault(Busy, fmt.Sprintf("not run: %s, come back in %d ms", reason, comeBack.Milliseconds()))
 }
 
--- a/proxy/lane.go
+++ b/proxy/lane.go
@@ -41,8 +41,16 @@
 	return l.queue.Running(), l.queue.Running() >= l.queue.Slots()
 }
 
-// enter waits for a ticket until the latest time at which the request may start.
-func (l *lane) enter(ctx context.Context, caller string, latest time.Time, expected time.Duration) (ticket, error) {
+// ask is what a request tells the queue of itself.
+type ask struct {
+	caller   string
+	priority int
+	latest   time.Time     // at which it may start
+	expected time.Duration // how long it holds its ticket, 0 if unknown
+}
+
+// enter waits for a ticket.
+func (l *lane) enter(ctx context.Context, a ask) (ticket, error) {
 	now := l.now()
 	ch := make(chan admit.Decision, 1)
 	l.mu.Lock()
@@ -50,10 +58,10 @@
 	id := l.nextID
 	l.waiting[id] = ch
 	l.deliver(l.queue.Offer(admit.Request{
-		ID: id, Caller: caller, Class: admit.Short, Arrived: now, Deadline: latest, Expected: expected,
+		ID: id, Caller: a.caller, Class: admit.Short, Arrived: now, Deadline: a.latest, Expected: a.expected, Priority: a.priority,
 	}, now))
 	l.mu.Unlock()
-	timer := time.NewTimer(latest.Sub(now))
+	timer := time.NewTimer(a.latest.Sub(now))
 	defer timer.Stop()
 	for {
 		select {
@@ -95,6 +103,13 @@
 	}
 }
 
+// wait returns how long a request that came now would wait for its ticket.
+func (l *lane) wait(priority int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Wait(admit.Short, priority)
+}
+
 // load is the number of running and waiting requests.
 func (l *lane) load() int {
 	l.mu.Lock()
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -64,6 +64,8 @@
 	lagAt     time.Time
 	failing   time.Time // first probe without an answer since the last one with, or zero
 	drainedAt time.Time // when it was first known to leave
+	standing  string    // as it was last logged
+	keep      bool      // idle connections are kept
 }
 
 func newMember(ctx context.Context, d Dialer, e roster.Entry, slots int, now func() time.Time) *member {
@@ -100,10 +102,10 @@
 	return m.entry
 }
 
-// borrow returns a connection, at the latest at latest.
-func (m *member) borrow(ctx context.Context, caller string, latest time.Time, expected time.Duration) (*backendConn, error) {
+// borrow returns a connection.
+func (m *member) borrow(ctx context.Context, a ask) (*backendConn, error) {
 	m.adapt()
-	t, err := m.lane.enter(ctx, caller, latest, expected)
+	t, err := m.lane.enter(ctx, a)
 	if err != nil {
 		return nil, err
 	}
@@ -124,10 +126,12 @@
 // as a multiple of its equal share.
 const mostPart = 3
 
-// allot sets the equal share of the instance.
-func (m *member) allot(share int) {
+// allot sets the equal share of the instance, and whether it keeps connections that
+// are idle.
+func (m *member) allot(share int, keep bool) {
 	m.mu.Lock()
 	m.quota.resize(share, mostPart*share)
+	m.keep = keep
 	limit := m.quota.limit
 	m.mu.Unlock()
 	m.lane.resize(limit)
@@ -234,7 +238,7 @@
 	if len(m.idle) > m.quota.share/2 {
 		limit = extraIdle
 	}
-	if m.quota.share <= scarceConns {
+	if !m.keep {
 		limit = scarceIdle
 	}
 	m.idle = slices.DeleteFunc(m.idle, func(c *backendConn) bool {
@@ -277,7 +281,7 @@
 // refused here has not been sent.
 func (c *backendConn) execute(ctx context.Context, w *work, limit time.Duration, cmds ...Command) ([]Answer, error) {
 	m := c.member
-	t, err := m.running.enter(ctx, w.session.user, w.latest(), 0)
+	t, err := m.running.enter(ctx, w.ask(w.svc.expected(w.session.database)))
 	if err != nil {
 		return nil, err
 	}
@@ -285,10 +289,26 @@
 	sent := m.now()
 	out, err := c.exec(limit, cmds...)
 	now := m.now()
-	m.adjust(w.svc.delayOf(w.session.database, m.target.ID, now.Sub(sent)), now)
+	m.adjust(w.svc.delayOf(w.session.database, m, now.Sub(sent)), now)
 	return out, err
 }
 
+// near reports whether a read can run at the server at once on a connection that
+// this instance keeps to it.
+func (m *member) near(zone string) bool {
+	_, full := m.lane.full()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.keep && !full && m.entry.Zone == zone && !m.now().Before(m.dialAfter)
+}
+
+// crowdedNow reports whether the server keeps statements waiting.
+func (m *member) crowdedNow() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pace.delay > fastDelay
+}
+
 // adjust lets the pace follow the delay of an answer.
 func (m *member) adjust(delay time.Duration, now time.Time) {
 	_, waiting := m.running.full()
@@ -299,6 +319,15 @@
 	m.running.resize(allowed)
 }
 
+// wait returns how long a statement that came now would wait, here and at the
+// server. A delay that the pace allows says nothing: answers vary by as much.
+func (m *member) wait(priority int) time.Duration {
+	here := m.running.wait(priority)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return here + max(0, m.pace.delay-slowDelay)
+}
+
 // queued reports whether statements wait, here or at the server.
 func (m *member) queued() bool {
 	_, full := m.running.full()
@@ -307,6 +336,13 @@
 	return full || m.pace.delay > fastDelay
 }
 
+// forgetFailing drops what probes have shown.
+func (m *member) forgetFailing() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failing = time.Time{}
+}
+
 // failingFor returns how long the server has not answered, or 0.
 func (m *member) failingFor(now time.Time) time.Duration {
 	m.mu.Lock()
--- a/proxy/pace.go
+++ b/proxy/pace.go
@@ -5,9 +5,9 @@
 const (
 	// slowDelay is the delay in the queue of a server above which an instance sends
 	// it less: a third of the tightest latency objective of the users (150 ms).
-	slowDelay = 50 * time.Millisecond
+	slowDelay = 30 * time.Millisecond
 	// fastDelay is the delay below which it may send more.
-	fastDelay = 25 * time.Millisecond
+	fastDelay = 12 * time.Millisecond
 	// slowPause and fastPause are between steps down and up. A step down takes a
 	// round of answers to show.
 	slowPause = 60 * time.Millisecond
@@ -15,7 +15,7 @@
 	// slowFactor is a step down.
 	slowFactor = 0.85
 	// leastPace lets an instance go on at a server that others keep busy.
-	leastPace = 2
+	leastPace = 1
 	// paceQueue is how many statements an instance may send beyond the slots.
 	paceQueue = 8
 	// paceWeight is the weight of one answer in the mean delay.
@@ -63,11 +63,14 @@
 const (
 	// usualWeight is the weight of one answer in the mean time of a member.
 	usualWeight = 0.05
+	// crowdedWeight is the weight of one that is longer than the mean while the server
+	// keeps statements waiting: a queue that lasts must not pass for the usual time.
+	crowdedWeight = 0.002
 )
 
 // took takes in the time of a statement and returns how much it is above what the
 // fastest member usually takes.
-func (u *usual) took(member string, d time.Duration) time.Duration {
+func (u *usual) took(member string, d time.Duration, crowded bool) time.Duration {
 	if u.mean == nil {
 		u.mean = make(map[string]time.Duration)
 	}
@@ -75,10 +78,21 @@
 	if !known {
 		old = d
 	}
-	u.mean[member] = old + time.Duration(usualWeight*float64(d-old))
-	least := u.mean[member]
+	weight := usualWeight
+	if crowded && d > old {
+		weight = crowdedWeight
+	}
+	u.mean[member] = old + time.Duration(weight*float64(d-old))
+	return d - u.least()
+}
+
+// least returns the mean time at the fastest member, or 0 if none is known.
+func (u *usual) least() time.Duration {
+	first, least := true, time.Duration(0)
 	for _, m := range u.mean {
-		least = min(least, m)
+		if first || m < least {
+			first, least = false, m
+		}
 	}
-	return d - least
+	return least
 }
--- a/proxy/pace_test.go
+++ b/proxy/pace_test.go
@@ -38,8 +38,27 @@
 // fastest one.
 func TestUsual(t *testing.T) {
 	var u usual
-	u.took("fast", 10*time.Millisecond)
-	if got := u.took("slow", 90*time.Millisecond); got != 80*time.Millisecond {
+	u.took("fast", 10*time.Millisecond, false)
+	if got := u.took("slow", 90*time.Millisecond, false); got != 80*time.Millisecond {
 		t.Fatalf("delay %v, want 80ms", got)
 	}
 }
+
+// TestUsualWhileCrowded guards that a queue that lasts for minutes at a server does
+// not pass for the usual time, and that a shorter time is learnt at once.
+func TestUsualWhileCrowded(t *testing.T) {
+	var u usual
+	u.took("a", 20*time.Millisecond, false)
+	for range 50 {
+		u.took("a", 120*time.Millisecond, true)
+	}
+	if got := u.least(); got > 40*time.Millisecond {
+		t.Fatalf("usual time %v after a second of queueing, want at most 40ms", got)
+	}
+	for range 100 {
+		u.took("a", 10*time.Millisecond, true)
+	}
+	if got := u.least(); got > 11*time.Millisecond {
+		t.Fatalf("usual time %v after shorter answers, want at most 11ms", got)
+	}
+}
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -13,8 +13,8 @@
 	// probeLimit bounds one probe. It takes no slot, so an answer comes within a
 	// round trip unless the path or the server is lost.
 	probeLimit = 300 * time.Millisecond
-	// probeInterval keeps the newest sample younger than the tightest bound on
-	// reads (1.5 s) by a good margin, also if two probes fail.
+	// probeInterval is the longest time between samples. Where a route has a bound on
+	// the age of reads below twice that, samples are taken twice within the bound.
 	probeInterval = 400 * time.Millisecond
 	// probePause is between probes while no member is known to be the primary.
 	probePause = 60 * time.Millisecond
@@ -63,8 +63,7 @@
 		}
 		if p.v.isShared() {
 			p.drop()
-			timer.Reset(sharedInterval)
-			continue
+			continue // until it is woken
 		}
 		pause := p.v.probePause()
 		if p.probe(ctx); p.conn == nil {
@@ -187,6 +186,9 @@
 	if m := v.members[v.primary]; m == nil || m.failingFor(v.srv.now()) > 0 {
 		return probePause
 	}
+	if v.tightest > 0 {
+		return min(probeInterval, v.tightest/2)
+	}
 	return probeInterval
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -86,6 +87,7 @@
 	sessions map[string]*fakeCaller
 	seq      uint64
 	version  uint64
+	maxConns int // of a server, 0 for plenty
 	logged   logBuffer
 }
 
@@ -130,13 +132,13 @@
 	return strings.Join(out, "\n")
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T, opts ...proxy.Option) *rig {
 	r := &rig{
 		t: t, group: &fakeGroup{members: map[string]*fakeMember{}, term: 1}, table: roster.New(),
 		conns: make(chan net.Conn), opened: make(chan *fakeCaller, 1), sessions: map[string]*fakeCaller{},
 	}
 	log := event.New(&r.logged, zerolog.InfoLevel, 1<<20, time.Now)
-	r.server = proxy.New(r.group, r.table, proxy.WithZone("a"), proxy.WithLog(log))
+	r.server = proxy.New(r.group, r.table, append(opts, proxy.WithZone("a"), proxy.WithLog(log))...)
 	ended := make(chan error, 1)
 	go func() {
 		ended <- r.server.Serve(context.Background(), pipe{r.conns}, func(net.Conn) proxy.Caller { return <-r.opened })
@@ -166,12 +168,17 @@
 	}, time.Now())
 }
 
-// configure puts routes in force: "name freshness age".
+// configure puts routes in force.
 func (r *rig) configure(lines string) {
 	r.version++
+	r.server.Configure(r.document(lines))
+}
+
+// document reads routes: "name freshness age".
+func (r *rig) document(lines string) *config.Document {
 	doc := &config.Document{
-		Version: r.version, Routes: map[string]config.Route{}, IdleTransaction: time.Second,
-		Services: map[string]config.Service{"db": {Name: "db", MaxConns: 30}},
+		Version: max(1, r.version), Routes: map[string]config.Route{}, IdleTransaction: time.Second,
+		Services: map[string]config.Service{"db": {Name: "db", MaxConns: cmp.Or(r.maxConns, 30)}},
 	}
 	for line := range strings.SplitSeq(lines, "\n") {
 		f := strings.Fields(line)
@@ -191,7 +198,7 @@
 		}
 		doc.Routes[route.Database] = route
 	}
-	r.server.Configure(doc)
+	return doc
 }
 
 // open opens a session: "s1 database".
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -28,9 +28,13 @@
 
 // Server serves callers on one instance.
 type Server struct {
+	name   string // as its peers know it
 	zone   string
+	zones  int // that share the backend servers
 	dialer Dialer
 	prover Prover // nil if the instance always probes itself
+	links  Links  // nil if the instance passes on nothing
+	peers  *peerSet
 	roster *roster.Table
 	now    func() time.Time
 	log    *event.Log
@@ -80,7 +84,7 @@
 // t. It serves nothing before Configure.
 func New(d Dialer, t *roster.Table, opts ...Option) *Server {
 	s := &Server{
-		dialer: d, roster: t, now: time.Now, log: event.Nop(), seed: 1, limit: defaultMaxSessions,
+		dialer: d, roster: t, now: time.Now, log: event.Nop(), seed: 1, zones: 1, limit: defaultMaxSessions,
 		services: make(map[string]*service), sessions: make(map[*session]struct{}),
 	}
 	for _, opt := range opts {
@@ -89,6 +93,7 @@
 	if s.stats == nil {
 		s.stats = stats.New(nil)
 	}
+	s.peers = newPeerSet(s)
 	s.instances.Store(1)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.wg.Go(func() { s.follow(s.ctx) })
@@ -150,20 +155,45 @@
 	if doc == nil {
 		return
 	}
-	now := s.now()
+	now, n := s.now(), int(s.instances.Load())
+	var holders map[string][]string // by service
+	if s.links != nil {
+		holders = s.peers.assign(doc, n, s.zones)
+	}
+	tightest := tightestBounds(doc)
 	for name, cfg := range doc.Services {
-		n := int(s.instances.Load())
 		v := s.service(name)
-		v.setShared(s.prover != nil && scarce(cfg, n))
-		v.refresh(s.roster.Members(name), shareOf(cfg, n), now)
+		v.setTightest(tightest[name])
+		few, share := scarce(cfg, n), shares{far: shareOf(cfg, n), keep: !scarce(cfg, n)}
+		holds := v.setHolders(holders[name], now)
+		switch peers := s.peers.size(); {
+		case few && holds:
+			share = shares{far: heldShare(cfg, s.zones, peers), keep: true}
+		case few && peers > 0:
+			share.near = directShare(cfg, s.zones, peers)
+		}
+		v.setShared(s.prover != nil && few && !holds)
+		v.refresh(s.roster.Members(name), share, now)
 	}
 }
 
+// tightestBounds returns the least bound on the age of reads of each service.
+func tightestBounds(doc *config.Document) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for _, r := range doc.Routes {
+		if old, ok := out[r.Service]; r.MaxAge > 0 && (!ok || r.MaxAge < old) {
+			out[r.Service] = r.MaxAge
+		}
+	}
+	return out
+}
+
 func (s *Server) upkeep() {
 	now := s.now()
 	for _, v := range s.all() {
 		v.upkeep(now)
 	}
+	s.peers.trim(now)
 	isolated := 0.0
 	if s.isolated.Load() {
 		isolated = 1
@@ -211,16 +241,21 @@
 // another instance.
 func (s *Server) SetIsolated(isolated bool) bool { return s.isolated.Swap(isolated) != isolated }
 
-// Proving reports whether at least half of the services had a primary that proved
-// its role within d.
+// Proving reports whether at least half of the services of which something is
+// known here had a primary that proved its role within d. Where requests are
+// passed on, an answer counts as a proof.
 func (s *Server) Proving(d time.Duration) bool {
-	now, all, proved := s.now(), s.all(), 0
-	for _, v := range all {
-		if v.provedWithin(d, now) {
+	now, known, proved := s.now(), 0, 0
+	for _, v := range s.all() {
+		switch v.provedWithin(d, now) {
+		case proofSeen:
+			known++
 			proved++
+		case proofMissing:
+			known++
 		}
 	}
-	return 2*proved >= len(all)
+	return 2*proved >= known
 }
 
 // Serve accepts callers on l until it is closed. open makes a codec for a
@@ -334,5 +369,6 @@
 	for _, v := range s.all() {
 		v.close()
 	}
+	s.peers.close()
 	s.wg.Wait()
 }
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -22,6 +22,9 @@
 	// overflowWait is how much longer the queue of a replica may be before the
 	// primary takes a read: about one statement of the users' workloads.
 	overflowWait = 20 * time.Millisecond
+	// farMargin is how much shorter the queue of a member in another zone must be: the
+	// users pay for bytes between zones.
+	farMargin = 15 * time.Millisecond
 	// primaryPenalty is the cost of a read at the primary, whose slots writes need.
 	primaryPenalty = 20 * time.Millisecond
 	// leaveGrace is how long a primary that is leaving still receives work while
@@ -51,7 +54,13 @@
 	samples  route.Samples
 	sampled  []timedPosition // the same samples with their times
 	waiting  map[*proofWaiter]struct{}
-	shared   bool // control probes for this instance
+	shared   bool     // control probes for this instance
+	holders  []string // instances of the zone that hold the connections, if not all do
+	holds    bool
+	adopted  time.Time     // last request that another instance passed on
+	tightest time.Duration // least bound on the age of reads, or 0 if there is none
+	relayed  time.Time     // last proof of a primary at a holder
+	asked    time.Time     // last such request
 	asker    *asker
 	usual    map[string]*usual // by database
 	breakers *retry.Group
@@ -72,6 +81,7 @@
 		srv: s, name: name, ctx: ctx, log: s.log.With(func(c zerolog.Context) zerolog.Context { return c.Str(event.Service, name) }),
 		policy: route.New(
 			route.WithOverflow(overflowWait), route.WithPenalty(primaryPenalty), route.WithLeaveGrace(leaveGrace),
+			route.WithFarMargin(farMargin),
 		),
 		members:  make(map[string]*member),
 		waiting:  make(map[*proofWaiter]struct{}),
@@ -85,9 +95,22 @@
 	return v
 }
 
+// setTightest records the least bound on the age of reads.
+func (v *service) setTightest(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tightest = d
+}
+
+// shares says how many connections of a backend server this instance may hold.
+type shares struct {
+	far, near int  // near: of one in the own zone
+	keep      bool // connections that are idle are kept
+}
+
 // refresh takes in the members as the roster lists them.
-func (v *service) refresh(entries []roster.Entry, slots int, now time.Time) {
-	for _, m := range v.relist(entries, slots, now) {
+func (v *service) refresh(entries []roster.Entry, s shares, now time.Time) {
+	for _, m := range v.relist(entries, s, now) {
 		m.close()
 	}
 }
@@ -96,18 +119,23 @@
 func (v *service) setShared(shared bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.shared != shared {
-		v.log.Info().Bool("shared", shared).Msg("way of proving primaries changed")
-		v.shared = shared
-		v.asker.kick()
+	if v.shared == shared {
+		return
+	}
+	v.log.Info().Bool("shared", shared).Msg("way of proving primaries changed")
+	v.shared = shared
+	for _, m := range v.members {
+		m.forgetFailing()
+		m.prober.kick()
 	}
+	v.asker.kick()
 }
 
 // relist updates the members and returns those that are no longer used.
-func (v *service) relist(entries []roster.Entry, slots int, now time.Time) (closing []*member) {
+func (v *service) relist(entries []roster.Entry, s shares, now time.Time) (closing []*member) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	listed := make(map[string]bool, len(entries))
+	listed, changed := make(map[string]bool, len(entries)), len(entries) != len(v.members)
 	for _, e := range entries {
 		listed[e.ID] = true
 		m := v.members[e.ID]
@@ -117,11 +145,16 @@
 			if m != nil {
 				closing = append(closing, m)
 			}
-			m = v.newProbedMember(e, slots)
+			changed = true
+			m = v.newProbedMember(e, s.far)
 			v.members[e.ID] = m
 			m.prober.start()
 		}
-		m.allot(slots)
+		if e.Zone == v.srv.zone && s.near > 0 {
+			m.allot(s.near, true)
+		} else {
+			m.allot(s.far, s.keep)
+		}
 	}
 	for id, m := range v.members {
 		if !listed[id] {
@@ -135,7 +168,9 @@
 	}
 	slices.Sort(names)
 	v.breakers.SetMembers(names)
-	v.kickLocked()
+	if changed || len(v.waiting) > 0 {
+		v.kickLocked()
+	}
 	return closing
 }
 
@@ -195,12 +230,55 @@
 	}
 }
 
+// evidence says whether a primary proved its role of late.
+type evidence uint8
+
+const (
+	proofUnknown evidence = iota // nobody asked
+	proofMissing
+	proofSeen
+)
+
 // provedWithin reports whether a primary proved its role within d.
-func (v *service) provedWithin(d time.Duration, now time.Time) bool {
+func (v *service) provedWithin(d time.Duration, now time.Time) evidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	passedOn := len(v.holders) > 0 && !v.holds
+	if n := len(v.sampled); n > 0 && now.Sub(v.sampled[n-1].at) <= d || passedOn && now.Sub(v.relayed) <= d {
+		return proofSeen
+	}
+	if passedOn && now.Sub(v.asked) > d {
+		return proofUnknown
+	}
+	return proofMissing
+}
+
+// passedOn records that a request was passed on.
+func (v *service) passedOn() {
+	now := v.srv.now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.asked = now
+}
+
+// answered takes in what a holder knows of the primary.
+func (v *service) answered(unproved time.Duration) {
+	at := v.srv.now().Add(-unproved)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if unproved >= 0 && at.After(v.relayed) {
+		v.relayed = at
+	}
+}
+
+// unproved returns the time since a primary proved its role here, or -1.
+func (v *service) unproved(now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	n := len(v.sampled)
-	return n > 0 && now.Sub(v.sampled[n-1].at) <= d
+	if n := len(v.sampled); n > 0 {
+		return max(0, now.Sub(v.sampled[n-1].at))
+	}
+	return -1
 }
 
 // primaryMember returns the member that last proved to be the primary, or nil.
@@ -254,7 +332,7 @@
 	v.raiseTerm(n.position.Term)
 	g := route.Group{Term: v.maxTerm, History: v.history, Primary: v.primary, Samples: &v.samples}
 	for _, m := range v.members {
-		g.Members = append(g.Members, v.describe(m, n, now))
+		g.Members = append(g.Members, v.describe(m, n, q.Priority, now))
 	}
 	slices.SortFunc(g.Members, func(a, b route.Member) int {
 		if a.Name < b.Name {
@@ -289,13 +367,13 @@
 }
 
 // describe renders a member for the routing decision.
-func (v *service) describe(m *member, n need, now time.Time) route.Member {
+func (v *service) describe(m *member, n need, priority int, now time.Time) route.Member {
 	e := m.snapshot()
 	inUse := m.lane.load()
 	lag := m.estimatedLag()
 	out := route.Member{
 		Name: e.ID, Zone: e.Zone, Primary: e.Primary && e.ID != v.primary,
-		Lag: lag, AsOf: now, Load: float64(inUse) / float64(max(1, e.Slots)),
+		Lag: lag, AsOf: now, Load: float64(inUse) / float64(max(1, e.Slots)), Wait: m.wait(priority),
 		Open:    !v.breakers.Usable(e.ID, now) || m.failingFor(now) > 0,
 		Leaving: e.State == roster.Draining, Weight: v.breakers.Weight(e.ID, now),
 	}
@@ -311,7 +389,8 @@
 }
 
 // delayOf returns how much longer than usual a statement took at a member.
-func (v *service) delayOf(database, member string, took time.Duration) time.Duration {
+func (v *service) delayOf(database string, m *member, took time.Duration) time.Duration {
+	crowded := m.crowdedNow()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	u := v.usual[database]
@@ -319,7 +398,18 @@
 		u = new(usual)
 		v.usual[database] = u
 	}
-	return u.took(member, took)
+	return u.took(m.target.ID, took, crowded)
+}
+
+// expected returns how long a statement of a route usually takes without a queue, or
+// 0 if that is not known.
+func (v *service) expected(database string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if u := v.usual[database]; u != nil {
+		return u.least()
+	}
+	return 0
 }
 
 // Trouble is a backend server that does not answer this instance.
@@ -333,6 +423,9 @@
 func (v *service) troubles(now time.Time) []Trouble {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.shared {
+		return nil
+	}
 	var out []Trouble
 	for id, m := range v.members {
 		if d := m.failingFor(now); d > 0 {
@@ -353,6 +446,37 @@
 	for _, m := range members {
 		m.trim(now)
 		v.gauge(m, now)
+		v.logStanding(m, now)
+	}
+}
+
+// farBehind is the lag from which a member serves hardly any read: the tightest
+// bound of the users is 1.5 s.
+const farBehind = 1500 * time.Millisecond
+
+// logStanding tells of a change in what is believed of a member.
+func (v *service) logStanding(m *member, now time.Time) {
+	lag, failing, standing := m.estimatedLag(), m.failingFor(now), "usable"
+	v.mu.Lock()
+	open, idle := !v.breakers.Usable(m.target.ID, now), v.shared
+	v.mu.Unlock()
+	switch {
+	case idle:
+		return
+	case failing > 0:
+		standing = "failing"
+	case open:
+		standing = "circuit_open"
+	case lag > farBehind:
+		standing = "far_behind"
+	}
+	m.mu.Lock()
+	was := m.standing
+	m.standing = standing
+	m.mu.Unlock()
+	if was != standing {
+		v.log.Info().Str(event.Member, m.target.ID).Str("was", was).Str("standing", standing).Float64(event.Lag, ms(lag)).
+			Float64("failing_ms", ms(failing)).Msg("belief about a member changed")
 	}
 }
 
@@ -380,7 +504,7 @@
 }
 
 func (v *service) close() {
-	for _, m := range v.relist(nil, 0, v.srv.now()) {
+	for _, m := range v.relist(nil, shares{}, v.srv.now()) {
 		m.close()
 	}
 	<-v.asker.done
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -33,6 +33,9 @@
 	tx     *transaction
 	failed bool // the transaction failed; only its end is accepted
 
+	delegated *config.Route // of a session that another instance serves
+	elapsed   time.Duration // since the request arrived there
+
 	mu      sync.Mutex
 	waiting bool // for a request
 	inTx    bool // while waiting
@@ -46,6 +49,7 @@
 	route    config.Route
 	svc      *service
 	conn     *backendConn
+	held     *delegation // instead of conn, at another instance
 	wrote    bool
 	set      bool
 }
@@ -67,6 +71,9 @@
 			return
 		}
 		answer := s.handle(ctx, req)
+		if req.Delegated != nil {
+			answer.Unproved = s.srv.service(req.Delegated.Route.Service).unproved(s.srv.now())
+		}
 		if err := s.caller.Reply(answer); err != nil {
 			return
 		}
@@ -130,6 +137,11 @@
 		c.dirty = c.dirty || s.tx.set
 		c.member.put(c, clean)
 	}
+	if h := s.tx.held; h != nil && clean {
+		h.put()
+	} else if h != nil {
+		h.drop()
+	}
 	s.tx = nil
 }
 
@@ -151,6 +163,11 @@
 
 // handle answers one request.
 func (s *session) handle(ctx context.Context, req Request) Answer {
+	if req.Delegated != nil {
+		if f := s.take(req.Delegated); f != nil {
+			return s.refuse(f)
+		}
+	}
 	if s.failed {
 		return s.handleFailed(req)
 	}
@@ -211,6 +228,9 @@
 }
 
 func (s *session) route() (config.Route, bool) {
+	if s.delegated != nil {
+		return *s.delegated, true
+	}
 	doc := s.srv.doc.Load()
 	if doc == nil {
 		return config.Route{}, false
@@ -240,7 +260,7 @@
 
 // run executes a read or a write.
 func (s *session) run(ctx context.Context, req Request, writes bool, prepared string) Answer {
-	w := work{session: s, req: req, writes: writes, prepared: prepared, arrived: s.srv.now()}
+	w := work{session: s, req: req, writes: writes, prepared: prepared, arrived: s.arrived()}
 	if s.tx != nil {
 		w.route, w.svc = s.tx.route, s.tx.svc
 		return w.inTransaction(ctx)
@@ -250,6 +270,16 @@
 		return s.refuse(fault(NoDatabase, "no such database"))
 	}
 	w.route, w.svc = r, s.srv.service(r.Service)
+	if s.delegates(w.svc) {
+		if !writes {
+			if a, ok := w.readNear(ctx); ok {
+				return a
+			}
+		}
+		if a, ok := w.delegate(ctx); ok {
+			return a
+		}
+	}
 	if writes {
 		return w.write(ctx)
 	}
@@ -272,6 +302,9 @@
 		answers, err := c.exec(rollbackLimit, RollbackTx{})
 		clean = err == nil && answers[0].Status == Idle
 	}
+	if h := s.tx.held; h != nil {
+		clean = s.rollbackAt(h)
+	}
 	s.dropTx(clean)
 	s.failed = true
 }
@@ -291,7 +324,12 @@
 	if s.tx == nil {
 		return s.refuse(fault(BadRequest, "no transaction is open"))
 	}
-	w := work{session: s, req: req, arrived: s.srv.now(), route: s.tx.route, svc: s.tx.svc}
+	w := work{session: s, req: req, arrived: s.arrived(), route: s.tx.route, svc: s.tx.svc}
+	if s.tx.held != nil || s.tx.conn == nil && s.delegates(w.svc) {
+		if a, ok := w.delegateTx(ctx, true); ok {
+			return a
+		}
+	}
 	if s.tx.conn == nil {
 		if f := w.open(ctx); f != nil {
 			a := s.fail(f)
@@ -309,3 +347,10 @@
 		s.own[service] = p
 	}
 }
+
+// arrived returns when the present request arrived at the instance of its caller.
+func (s *session) arrived() time.Time { return s.srv.now().Add(-s.elapsed) }
+
+// delegates reports whether requests for the service are passed on. One that was
+// passed on to here is not passed on again.
+func (s *session) delegates(v *service) bool { return s.delegated == nil && v.delegates() }
--- a/proxy/shared.go
+++ b/proxy/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tamarackcross/config"
@@ -18,6 +19,7 @@
 	Member   string // the primary
 	Position group.Position
 	Lags     map[string]time.Duration // of the replicas
+	Age      time.Duration            // of the proof when it was given
 }
 
 // Prover asks control for proofs.
@@ -75,8 +77,11 @@
 		case <-a.wake:
 		case <-timer.C:
 		}
+		if !a.v.isShared() {
+			continue // until it is woken
+		}
 		pause := sharedInterval
-		if a.v.isShared() && !a.ask(ctx) {
+		if !a.ask(ctx) {
 			pause = sharedPause
 		}
 		timer.Reset(pause)
@@ -88,7 +93,7 @@
 	ctx, stop := context.WithTimeout(ctx, sharedLimit)
 	defer stop()
 	begin := a.v.srv.now()
-	p, err := a.v.srv.prover.Prove(ctx, a.v.name)
+	p, err := a.prove(ctx)
 	if err != nil {
 		return false
 	}
@@ -102,10 +107,24 @@
 			r.setLag(lag, now)
 		}
 	}
-	a.v.proved(m, begin, p.Position)
+	a.v.proved(m, begin.Add(-p.Age), p.Position)
 	return true
 }
 
+// prove asks control for a proof that begins now if a request waits for one or there
+// are no holders, and otherwise a holder of the zone for the newest one that it has.
+func (a *asker) prove(ctx context.Context) (Proof, error) {
+	a.v.mu.Lock()
+	fresh := len(a.v.holders) == 0 || len(a.v.waiting) > 0
+	a.v.mu.Unlock()
+	if !fresh {
+		if e := a.v.chooseHolder(nil); e != nil {
+			return a.v.srv.links.Newest(ctx, e.Addr, a.v.name)
+		}
+	}
+	return a.v.srv.prover.Prove(ctx, a.v.name)
+}
+
 func (v *service) isShared() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -130,6 +149,30 @@
 	return Proof{Member: p.member.target.ID, Position: p.position, Lags: v.lags()}, true
 }
 
+// Newest returns the newest proof of a service that this instance has.
+func (s *Server) Newest(name string) (Proof, bool) {
+	doc := s.doc.Load()
+	if doc == nil {
+		return Proof{}, false
+	}
+	if _, ok := doc.Services[name]; !ok {
+		return Proof{}, false
+	}
+	v, now := s.service(name), s.now()
+	v.adopt(now)
+	v.mu.Lock()
+	n := len(v.sampled)
+	if n == 0 || v.primary == "" {
+		v.mu.Unlock()
+		return Proof{}, false
+	}
+	last := v.sampled[n-1]
+	p := Proof{Member: v.primary, Position: last.position, Age: max(0, now.Sub(last.at))}
+	v.mu.Unlock()
+	p.Lags = v.lags()
+	return p, true
+}
+
 // lags returns the estimated lag of the members.
 func (v *service) lags() map[string]time.Duration {
 	v.mu.Lock()
@@ -141,12 +184,14 @@
 	return out
 }
 
-// Probes reports whether this instance probes the members of any service.
-func (s *Server) Probes() bool {
+// Probed lists the services whose members this instance probes.
+func (s *Server) Probed() []string {
+	var out []string
 	for _, v := range s.all() {
 		if !v.isShared() {
-			return true
+			out = append(out, v.name)
 		}
 	}
-	return false
+	slices.Sort(out)
+	return out
 }
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -1,12 +1,17 @@
 package proxy
 
-import "tamarackcross/group"
+import (
+	"time"
+
+	"tamarackcross/group"
+)
 
 // Request is one statement of a caller. Text goes to backend servers unchanged.
 type Request struct {
 	ID        string
 	Text      string
 	Statement Statement
+	Delegated *Delegated // set if another instance passed the request on
 }
 
 // Statement is what a request asks for. It is one of the types below.
@@ -74,6 +79,9 @@
 	Fault     *Fault
 	Status    Status
 	Position  group.Position // of the log of the backend server, zero if there is none
+	// Unproved is the time since a primary proved its role at a holder that answers
+	// another instance; negative if none did.
+	Unproved time.Duration
 }
 
 // Code says why a request failed.
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -18,6 +18,11 @@
 	if w.writes && tx.readOnly {
 		return w.session.fail(fault(ReadOnly, "the transaction only reads"))
 	}
+	if tx.held != nil || tx.conn == nil && w.session.delegates(w.svc) {
+		if a, ok := w.delegateTx(ctx, false); ok {
+			return a
+		}
+	}
 	if tx.conn == nil {
 		if f := w.open(ctx); f != nil {
 			return w.session.fail(f)
@@ -104,20 +109,20 @@
 	}
 }
 
-func (w *work) placeOf(ctx context.Context, exclude []string) (place, *Fault) {
+func (w *work) placeOf(ctx context.Context, exclude []string) (placement, *Fault) {
 	if w.session.tx.readOnly {
 		return w.choose(ctx, exclude)
 	}
 	m, f := w.primary(ctx)
-	return place{member: m}, f
+	return placement{member: m}, f
 }
 
 // openAt opens the transaction at one member. A member that opens one for writes
 // is the primary at that moment.
-func (w *work) openAt(ctx context.Context, p place) errs.Reason {
+func (w *work) openAt(ctx context.Context, p placement) errs.Reason {
 	w.routed(p)
 	w.shed = false
-	c, err := p.member.borrow(ctx, w.session.user, w.latest(), 0)
+	c, err := p.member.borrow(ctx, w.ask(0))
 	if err != nil {
 		return w.failedBorrow(p.member, err)
 	}
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -54,6 +54,21 @@
 // latest is until when a request may wait for a connection.
 func (w *work) latest() time.Time { return w.arrived.Add(min(w.route.Goal, w.route.Timeout)) }
 
+// ask tells the queue of a backend server of the request.
+func (w *work) ask(expected time.Duration) ask {
+	return ask{caller: w.session.user, priority: w.priority(), latest: w.latest(), expected: expected}
+}
+
+// priority orders the request among those that wait for a backend server: by the
+// priority of its route, and statements of transactions under way before others,
+// since they hold a connection and locks.
+func (w *work) priority() int {
+	if tx := w.session.tx; tx != nil && tx.conn != nil {
+		return 2 * w.route.Priority
+	}
+	return 2*w.route.Priority + 1
+}
+
 // pause waits d, or until ctx ends. It reports whether there is time left.
 func (w *work) pause(ctx context.Context, d time.Duration, until time.Time) bool {
 	if w.now().Add(d).After(until) {
@@ -160,40 +175,47 @@
 	}
 }
 
-// place is where a read goes and what it needs there.
-type place struct {
+// placement is where a read goes and what it needs there.
+type placement struct {
 	member *member
 	need   need
 }
 
+// query describes the request for the choice of a member.
+func (w *work) query(now time.Time, exclude []string) route.Query {
+	return route.Query{
+		Zone: w.session.srv.zone, Deadline: w.end(), Waited: now.Sub(w.arrived), Exclude: exclude,
+		Expected: w.svc.expected(w.session.database), Priority: w.priority(),
+	}
+}
+
 // choose finds a member for a read, waiting for one as long as that pays.
-func (w *work) choose(ctx context.Context, exclude []string) (place, *Fault) {
+func (w *work) choose(ctx context.Context, exclude []string) (placement, *Fault) {
 	for {
 		now := w.now()
 		n := w.need()
 		if w.route.Freshness == config.Latest {
 			return w.confirm(ctx, now)
 		}
-		q := route.Query{Zone: w.session.srv.zone, Deadline: w.end(), Waited: now.Sub(w.arrived), Exclude: exclude}
-		switch choice := w.svc.pick(q, n, now).(type) {
+		switch choice := w.svc.pick(w.query(now, exclude), n, now).(type) {
 		case route.Use:
 			if choice.Confirm {
 				return w.confirm(ctx, now)
 			}
 			if m := w.svc.member(choice.Name); m != nil {
-				return place{member: m, need: n}, nil
+				return placement{member: m, need: n}, nil
 			}
 		case route.Wait:
 			if w.pause(ctx, max(choice.Until.Sub(now), time.Millisecond), w.latest()) {
 				continue
 			}
-			return place{}, w.refused(errs.ReasonDeadline)
+			return placement{}, w.refused(errs.ReasonDeadline)
 		case route.Reject:
 			if !n.known || len(exclude) > 0 {
 				return w.confirm(ctx, now)
 			}
 			if !w.pause(ctx, retryPause, w.patience()) {
-				return place{}, w.refused(choice.Reason)
+				return placement{}, w.refused(choice.Reason)
 			}
 		}
 	}
@@ -201,16 +223,16 @@
 
 // confirm asks for a proof that begins now. The member that gives it holds every
 // commit acknowledged before.
-func (w *work) confirm(ctx context.Context, now time.Time) (place, *Fault) {
+func (w *work) confirm(ctx context.Context, now time.Time) (placement, *Fault) {
 	limit := w.patience()
 	if limit.Before(now.Add(probePause)) {
 		limit = now.Add(probePause)
 	}
 	p := w.svc.await(ctx, now, limit)
 	if p.member == nil {
-		return place{}, w.refused(errs.ReasonNoPrimary)
+		return placement{}, w.refused(errs.ReasonNoPrimary)
 	}
-	return place{member: p.member, need: need{timedPosition: timedPosition{at: p.at}, known: true}}, nil
+	return placement{member: p.member, need: need{timedPosition: timedPosition{at: p.at}, known: true}}, nil
 }
 
 // read runs a read outside a transaction. A read may run more than once.
@@ -243,10 +265,10 @@
 }
 
 // readAt runs a read at one member. A reason means that it may be tried again.
-func (w *work) readAt(ctx context.Context, p place) (Answer, errs.Reason) {
+func (w *work) readAt(ctx context.Context, p placement) (Answer, errs.Reason) {
 	w.routed(p)
 	w.shed = false
-	c, err := p.member.borrow(ctx, w.session.user, w.latest(), 0)
+	c, err := p.member.borrow(ctx, w.ask(0))
 	if err != nil {
 		return Answer{}, w.failedBorrow(p.member, err)
 	}
@@ -289,7 +311,7 @@
 
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-func (w *work) readFault(p place, a Answer) (Answer, errs.Reason) {
+func (w *work) readFault(p placement, a Answer) (Answer, errs.Reason) {
 	switch a.Fault.Code {
 	case Lagging:
 		p.member.lacked(p.need.at)
@@ -354,9 +376,9 @@
 }
 
 func (w *work) writeAt(ctx context.Context, m *member) (Answer, errs.Reason) {
-	w.routed(place{member: m})
+	w.routed(placement{member: m})
 	w.shed = false
-	c, err := m.borrow(ctx, w.session.user, w.latest(), 0)
+	c, err := m.borrow(ctx, w.ask(0))
 	if err != nil {
 		return Answer{}, w.failedBorrow(m, err)
 	}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,211 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"tamarackcross/config"
+	"tamarackcross/group"
+	"tamarackcross/mesh"
+	"tamarackcross/proxy"
+	"tamarackcross/relay"
+)
+
+// stubHolder answers each request with answer, or does what the test sets.
+type stubHolder struct {
+	handle func(proxy.Caller)
+	proof  proxy.Proof
+}
+
+func (h stubHolder) HandleDelegated(c proxy.Caller) {
+	defer c.Close()
+	h.handle(c)
+}
+
+func (h stubHolder) Newest(string) (proxy.Proof, bool) { return h.proof, h.proof.Member != "" }
+
+// start serves h on loopback and returns its address and a function that ends it.
+func start(t *testing.T, h relay.Holder) (string, context.CancelFunc) {
+	t.Helper()
+	mux := drpcmux.New()
+	if err := relay.Register(mux, h); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- drpcserver.New(mux).Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return l.Addr().String(), cancel
+}
+
+func open(t *testing.T, addr string) proxy.Link {
+	t.Helper()
+	l, err := relay.NewLinks(mesh.Dial).Open(t.Context(), addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+const limit = time.Second
+
+var request = proxy.Delegated{
+	Fresh: true, Begin: &proxy.Begin{ReadOnly: true}, Database: "d", User: "u",
+	Route: config.Route{
+		Database: "d", Service: "s", Freshness: config.Session, MaxAge: time.Second, Timeout: 2 * time.Second,
+		Goal: 300 * time.Millisecond, Priority: 2,
+	},
+	Values: map[string]string{"a": "\xff b"}, Prepared: "p", Shape: proxy.Shape{Writes: true, Text: "x"},
+	Own: group.Position{Term: 3, Offset: 1 << 40}, OwnAge: time.Minute, Elapsed: time.Millisecond,
+	Request: proxy.Request{ID: "1", Text: "text \xfe", Statement: proxy.Execute{Name: "p", Args: "7 8"}},
+}
+
+// TestExchange guards that a request and its answer arrive as they were sent.
+func TestExchange(t *testing.T) {
+	answers := []proxy.Answer{
+		{
+			Rows: [][]byte{{0, 255}, []byte("row")}, Signature: "s", Status: proxy.InTx,
+			Position: group.Position{Term: 3, Offset: 9}, Unproved: -1,
+		},
+		{Fault: &proxy.Fault{Code: proxy.Busy, Text: "come back"}, Status: proxy.FailedTx},
+	}
+	got := make(chan proxy.Request, len(answers))
+	addr, _ := start(t, stubHolder{handle: func(c proxy.Caller) {
+		for _, a := range answers {
+			req, err := c.Next(0)
+			if err != nil {
+				return
+			}
+			got <- req
+			if err := c.Reply(a); err != nil {
+				return
+			}
+		}
+	}})
+	l := open(t, addr)
+	for _, want := range answers {
+		a, err := l.Exchange(request, limit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, a); diff != "" {
+			t.Fatalf("answer (-want +got):\n%s", diff)
+		}
+		req := <-got
+		seen := *req.Delegated
+		seen.Request = proxy.Request{ID: req.ID, Text: req.Text, Statement: req.Statement}
+		if diff := cmp.Diff(request, seen); diff != "" {
+			t.Fatalf("request (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// TestNotTaken guards that a request counts as not taken only where the holder
+// has said so, and that no wait outlasts its limit.
+func TestNotTaken(t *testing.T) {
+	cases := []struct {
+		name     string
+		handle   func(c proxy.Caller, release <-chan struct{})
+		notTaken bool
+	}{
+		{"leaving", func(proxy.Caller, <-chan struct{}) {}, true},
+		{"interrupted", func(c proxy.Caller, _ <-chan struct{}) {
+			c.Interrupt()
+			if _, err := c.Next(0); err == nil {
+				t.Error("a request was taken after the interruption")
+			}
+		}, true},
+		{"silent", func(c proxy.Caller, release <-chan struct{}) {
+			if _, err := c.Next(0); err == nil {
+				<-release
+			}
+		}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			release := make(chan struct{})
+			addr, _ := start(t, stubHolder{handle: func(c proxy.Caller) { tc.handle(c, release) }})
+			t.Cleanup(func() { close(release) })
+			began := time.Now()
+			_, err := open(t, addr).Exchange(request, 200*time.Millisecond)
+			if err == nil || errors.Is(err, proxy.ErrNotTaken) != tc.notTaken {
+				t.Fatalf("error %v, not taken should be %t", err, tc.notTaken)
+			}
+			if took := time.Since(began); took > limit {
+				t.Fatalf("the exchange took %v", took)
+			}
+		})
+	}
+}
+
+// TestLostHolder guards that a holder that dies is seen, and is not taken for one
+// that has refused.
+func TestLostHolder(t *testing.T) {
+	taken := make(chan struct{})
+	addr, kill := start(t, stubHolder{handle: func(c proxy.Caller) {
+		if _, err := c.Next(0); err == nil {
+			close(taken)
+			_, _ = c.Next(0)
+		}
+	}})
+	l := open(t, addr)
+	go func() {
+		<-taken
+		kill()
+	}()
+	_, err := l.Exchange(request, 5*time.Second)
+	if err == nil || errors.Is(err, proxy.ErrNotTaken) {
+		t.Fatalf("error %v, want a lost answer", err)
+	}
+	deadline := time.Now().Add(limit)
+	for l.Alive() {
+		if time.Now().After(deadline) {
+			t.Fatal("the link counts as open")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestCalls guards pings and proofs, and that the loss of a kept connection does not
+// fail the next call.
+func TestCalls(t *testing.T) {
+	want := proxy.Proof{
+		Member: "m", Position: group.Position{Term: 1, Offset: 2}, Age: time.Second,
+		Lags: map[string]time.Duration{"r": time.Minute},
+	}
+	addr, _ := start(t, stubHolder{proof: want})
+	links := relay.NewLinks(mesh.Dial)
+	for range 2 {
+		if err := links.Ping(t.Context(), addr); err != nil {
+			t.Fatal(err)
+		}
+		got, err := links.Newest(t.Context(), addr, "s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatalf("proof (-want +got):\n%s", diff)
+		}
+		if err := links.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := links.Ping(t.Context(), "127.0.0.1:1"); err == nil {
+		t.Fatal("a port without a listener answered")
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -48,6 +48,7 @@
 	Expected time.Duration
 	Waited   time.Duration // how long earlier Wait choices have taken
 	Exclude  []string      // members already tried
+	Priority int           // of the statement in the queues, 0 is the highest
 }
 
 // Choice is the decision of Pick: Use, Wait or Reject.
