--- a/host/entry.go
+++ b/host/entry.go
@@ -126,12 +126,18 @@
 // exchanges, each of which takes 400 ms.
 const isolatedAfter = 900 * time.Millisecond
 
-// isolated reports whether the instance is cut off from what it needs. The loss
-// of control alone, or of primaries alone, is the same for all instances.
+// isolated reports whether the instance is cut off from what it needs.
 func (e *Entry) isolated() bool {
-	return !e.links.majority(isolatedAfter) && !e.server.Proving(isolatedAfter)
+	known, proved := e.server.Proofs(isolatedAfter)
+	return cutOff(e.links.majority(isolatedAfter), known, proved)
 }
 
+// cutOff decides whether an instance is cut off. The loss of control alone, or of
+// primaries alone, is the same for all instances; so is that of control and of one
+// primary in three. An instance that misses more of them while it misses control is
+// behind a partition, and others serve its callers better.
+func cutOff(control bool, known, proved int) bool { return !control && 3*proved < 2*known }
+
 // Reload takes in new settings.
 func (e *Entry) Reload(s Settings) { e.links.seek(e.ctx, s.Seeds) }
 
--- a/host/entry_test.go
+++ b/host/entry_test.go
@@ -23,3 +23,25 @@
 		t.Fatal(diff)
 	}
 }
+
+// TestCutOff guards when an instance sends its callers elsewhere.
+func TestCutOff(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		control       bool
+		known, proved int
+		want          bool
+	}{
+		{"all is well", true, 8, 8, false},
+		{"control is lost alone", false, 8, 8, false},
+		{"primaries are lost alone", true, 8, 0, false},
+		{"control and one primary of three", false, 3, 2, false},
+		{"a zone of three is cut off, its primaries are here", false, 8, 3, true},
+		{"the same with half of the primaries here", false, 8, 4, true},
+		{"nothing is known yet", false, 0, 0, false},
+	} {
+		if got := cutOff(tc.control, tc.known, tc.proved); got != tc.want {
+			t.Errorf("%s: cut off %t, want %t", tc.name, got, tc.want)
+		}
+	}
+}
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -288,6 +288,9 @@
 	defer m.running.leave(t)
 	sent := m.now()
 	out, err := c.exec(limit, cmds...)
+	if w.waits {
+		return out, err
+	}
 	now := m.now()
 	m.adjust(w.svc.delayOf(w.session.database, m, now.Sub(sent)), now)
 	return out, err
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -241,11 +241,11 @@
 // another instance.
 func (s *Server) SetIsolated(isolated bool) bool { return s.isolated.Swap(isolated) != isolated }
 
-// Proving reports whether at least half of the services of which something is
-// known here had a primary that proved its role within d. Where requests are
-// passed on, an answer counts as a proof.
-func (s *Server) Proving(d time.Duration) bool {
-	now, known, proved := s.now(), 0, 0
+// Proofs counts the services of which something is known here, and those of them
+// whose primary proved its role within d. Where requests are passed on, an answer
+// counts as a proof.
+func (s *Server) Proofs(d time.Duration) (known, proved int) {
+	now := s.now()
 	for _, v := range s.all() {
 		switch v.provedWithin(d, now) {
 		case proofSeen:
@@ -255,7 +255,7 @@
 			known++
 		}
 	}
-	return 2*proved >= known
+	return known, proved
 }
 
 // Serve accepts callers on l until it is closed. open makes a codec for a
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -39,6 +39,7 @@
 	svc      *service
 	tries    int
 	shed     bool // the last attempt was refused by the admission of this instance
+	waits    bool // the last attempt may wait at its member for replication
 }
 
 func (w *work) now() time.Time { return w.session.srv.now() }
@@ -272,6 +273,7 @@
 	if err != nil {
 		return Answer{}, w.failedBorrow(p.member, err)
 	}
+	w.waits = w.mayWait(p)
 	cmds := append(w.prelude(c), w.command(p.need))
 	limit := w.end().Sub(w.now())
 	if w.tries == 0 {
@@ -309,6 +311,12 @@
 	return w.readFault(p, a)
 }
 
+// mayWait reports whether the member may hold the read back until it has applied the
+// position that the read needs. Such a wait says nothing about its queue.
+func (w *work) mayWait(p placement) bool {
+	return !p.need.position.IsZero() && w.now().Sub(p.need.at) < 2*p.member.estimatedLag()
+}
+
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 func (w *work) readFault(p placement, a Answer) (Answer, errs.Reason) {
