--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -18,7 +18,7 @@
 	"tamarackcross/relay"
 )
 
-// stubHolder answers each request with answer, or does what the test sets.
+// stubHolder serves links and proofs as the test sets.
 type stubHolder struct {
 	handle func(proxy.Caller)
 	proof  proxy.Proof
