--- a/host/control.go
+++ b/host/control.go
@@ -213,7 +213,8 @@
 		reply := &mesh.SyncReply{
 			Boot: c.boot, Revision: revision, Entries: entries, Control: c.controlAddrs(), Instances: c.instances(), Zone: c.settings.Zone,
 		}
-		if peers := c.peersIn(in.Zone); in.Serves {
+		if in.Serves {
+			peers := c.peersIn(in.Zone)
 			if reply.Digest = mesh.Digest(peers); reply.Digest != in.Peers {
 				reply.Peers = peers
 			}
--- a/proxy/delegate.go
+++ b/proxy/delegate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -81,7 +82,7 @@
 	s.srv.service(d.Route.Service).adopt(now)
 	s.database, s.user, s.delegated = d.Database, d.User, &d.Route
 	s.elapsed = d.Elapsed
-	if s.tx != nil && !sameValues(s.values, d.Values) {
+	if s.tx != nil && !maps.Equal(s.values, d.Values) {
 		s.tx.set = true
 	}
 	s.values = d.Values
@@ -99,18 +100,6 @@
 	return nil
 }
 
-func sameValues(a, b map[string]string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k, v := range a {
-		if w, ok := b[k]; !ok || v != w {
-			return false
-		}
-	}
-	return true
-}
-
 const (
 	// answerMargin is how much longer than the holder an instance waits, so that a
 	// refusal by the holder still arrives: a round trip and a wait for the processor.
