--- a/raft/leader.go
+++ b/raft/leader.go
@@ -119,6 +119,14 @@
 	l.rounds = l.rounds[k:]
 }
 
+// startOf returns the start of a round, or zero if it is not one of the recent ones.
+func (l *leaderState) startOf(round uint64) time.Time {
+	if first := l.rounds[0].number; round >= first && round <= l.round {
+		return l.rounds[round-first].startedAt
+	}
+	return time.Time{}
+}
+
 // recordAck records that p answered a message of the given round.
 func (l *leaderState) recordAck(p *peer, round uint64) {
 	if round <= p.ackedRound || round > l.round {
--- a/raft/status.go
+++ b/raft/status.go
@@ -24,7 +24,10 @@
 	// shortest election timeout and has committed an entry of its term. Another
 	// leader may exist nevertheless: a linearizable answer needs ReadIndex or a
 	// committed entry.
-	Current       bool
+	Current bool
+	// ConfirmedAt is the start of the newest round in which a majority confirmed a leader, or
+	// zero if there is no recent one. No other member was elected before it.
+	ConfirmedAt   time.Time
 	ChangePending bool       // a membership change is not committed yet
 	Progress      []Progress // of the other members; only set at the leader
 }
@@ -56,6 +59,7 @@
 	}
 	if n.role == Leader {
 		s.Current = n.log.commitIndex >= n.leaderState.noOpIndex && n.majorityActive(s.Members, now)
+		s.ConfirmedAt = n.leaderState.startOf(n.confirmedRound())
 		s.Progress = n.progress(now)
 	}
 	return s
