Deposed primaries: no commit and no read of the latest data at a primary after another was promoted

Cause: an entry took 'this member opens a transaction for writes' as the proof that it is the primary.

Change: a succession (duty.Overlapping, Immediate) tells what a promotion does to the former primary; unless the settings say that the platform checks fences, it overlaps. Then an instance relies on a primary only under a lease of the leader of control, which the Sync call carries, and an acknowledgement needs a lease at the answer. Control recalls the leases when most instances miss the primary, and promotes once they are given back or have run out, or the primary has answered that it stepped down. Orders without an answer are kept in the log until the platform cannot carry them out any more.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -32,8 +32,14 @@
 	// regularly.
 	View struct {
 		Members      []Member
-		Instances    int // instances that probe the members
-		SyncReplicas int // replicas that hold a commit when it is acknowledged
+		Instances    int    // instances that probe the members
+		SyncReplicas int    // replicas that hold a commit when it is acknowledged
+		Appointed    string // member that the newest promotion order names, or empty
+		// MayPromote and Reassert matter only where successions overlap. MayPromote means that
+		// no instance relies on the primary any more. Reassert means that an open order for
+		// another member may have been carried out, so that the appointed one must be promoted
+		// again.
+		MayPromote, Reassert bool
 	}
 	// Status is the outcome of AskStatus or StepDown. Err is set if the call failed.
 	// Busy is set as well if the member answered that it is overloaded.
@@ -85,6 +91,11 @@
 		Target string
 		Token  uint64
 	}
+	// Recall ends the reliance of the instances on the primary, and Restore allows it again.
+	Recall  struct{}
+	Restore struct{}
+	// Depose asks a former primary to step down. It has no outcome.
+	Depose struct{ ID string }
 	// Note is a message for the log that operators read.
 	Note struct {
 		Text   string
@@ -96,6 +107,9 @@
 func (StepDown) action()   {}
 func (IssueToken) action() {}
 func (Promote) action()    {}
+func (Recall) action()     {}
+func (Restore) action()    {}
+func (Depose) action()     {}
 func (Note) action()       {}
 
 const (
@@ -139,6 +153,7 @@
 	collectingStatus              // waiting for the status of all members
 	steppingDown                  // waiting for the old primary to step down
 	catchingUp                    // waiting for the successor to receive the required position
+	awaitingRelease               // waiting until no instance relies on the old primary any more
 	issuingToken                  // waiting for a fencing token
 	promoting                     // waiting for the platform to accept the promotion order
 	activating                    // waiting for the promoted member to act as the primary
@@ -160,12 +175,25 @@
 	requiredPosition group.Position // position that the successor must hold
 	statusAskedAt    time.Time
 	stepDownAttempts int
+	overlap          overlap
+}
+
+// Option configures a Supervisor.
+type Option func(*Supervisor)
+
+// WithSuccession sets what a promotion does to the former primary.
+func WithSuccession(u Succession) Option {
+	return func(s *Supervisor) { s.overlap.enabled = u == Overlapping }
 }
 
 // New returns a Supervisor that starts no replacement for startDelay: a leader that
 // has just been elected does not know the reports of the instances yet.
-func New(now time.Time) *Supervisor {
-	return &Supervisor{notBefore: now.Add(startDelay)}
+func New(now time.Time, opts ...Option) *Supervisor {
+	s := &Supervisor{notBefore: now.Add(startDelay), overlap: overlap{enabled: true}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // startDelay is the time that instances get to report to a new leader.
@@ -194,7 +222,7 @@
 func (s *Supervisor) retryLater(now time.Time) []Action {
 	s.enterPhase(watching, now)
 	s.notBefore = now.Add(retryDelay)
-	return nil
+	return s.restore()
 }
 
 func (s *Supervisor) onView(now time.Time) []Action {
@@ -219,6 +247,8 @@
 			s.statusAskedAt = now
 			return []Action{AskStatus{ID: s.target}}
 		}
+	case awaitingRelease:
+		return s.awaitRelease(now)
 	case activating:
 		if m, ok := s.member(s.target); ok && m.Primary || now.Sub(s.phaseSince) >= activationTimeout {
 			s.enterPhase(watching, now)
@@ -248,6 +278,9 @@
 		s.noPrimarySince = time.Time{}
 		return nil
 	}
+	if s.overlap.enabled && s.view.Appointed != "" {
+		return s.checkAppointed(now)
+	}
 	failing, draining, announced := "", "", false
 	for _, m := range s.view.Members {
 		switch {
@@ -283,6 +316,7 @@
 	var out []Action
 	if !planned {
 		out = append(out, Note{Text: "primary does not answer, members are asked", Member: primary})
+		out = append(out, s.recall()...)
 	}
 	for _, m := range s.view.Members {
 		out = append(out, AskStatus{ID: m.ID})
@@ -316,6 +350,9 @@
 			}
 			continue
 		}
+		if st.Primary && s.overlap.enabled && s.view.Appointed != "" && m.ID != s.view.Appointed {
+			continue // a former primary, or one that is not known to be the present one
+		}
 		if st.Primary && !s.planned {
 			return s.retryLater(now) // another member is the primary already and will announce it
 		}
@@ -329,11 +366,11 @@
 	if !found {
 		return s.retryLater(now)
 	}
-	s.target = best.ID
+	s.target = s.preferAppointed(best)
 	if s.planned {
 		return s.maybeStepDown(best, now)
 	}
-	return append(s.issueToken(now), Note{Text: "member that received most is promoted", Member: s.target})
+	return append(s.release(now), Note{Text: "member that received most is promoted", Member: s.target})
 }
 
 // replaceReachable replaces a primary that answers the control instance although
@@ -390,11 +427,14 @@
 }
 
 func (s *Supervisor) onSteppedDown(st Status, now time.Time) []Action {
-	if st.Err != nil {
+	if st.Err == nil && st.Primary {
+		s.statuses[s.oldPrimary] = st // its term has changed
+	}
+	if st.Err != nil || st.Primary {
 		if s.stepDownAttempts < maxStepDownAttempts {
 			return s.stepDown(now)
 		}
-		return s.issueToken(now)
+		return append(s.recall(), s.release(now)...)
 	}
 	s.requiredPosition, s.statusAskedAt = st.Received, now
 	s.enterPhase(catchingUp, now)
@@ -414,7 +454,7 @@
 		return s.retryLater(now)
 	}
 	s.enterPhase(promoting, now)
-	return []Action{Promote{Target: e.Target, Token: e.Token}}
+	return append(s.restore(), Promote{Target: e.Target, Token: e.Token})
 }
 
 // onPromoteResult handles the answer of the platform. An order without an answer may
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -21,7 +21,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Unix(1000, 0)
 		now := start
-		s := duty.New(now)
+		s := duty.New(now, duty.WithSuccession(duty.Immediate))
 		var view duty.View
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
@@ -31,6 +31,8 @@
 				}
 			}
 			switch d.Cmd {
+			case "overlapping":
+				s = duty.New(now, duty.WithSuccession(duty.Overlapping))
 			case "members":
 				view = parseView(t, d)
 			case "wait":
@@ -75,6 +77,12 @@
 		return "issue token for " + a.Target
 	case duty.Promote:
 		return fmt.Sprintf("promote %s with token %d", a.Target, a.Token)
+	case duty.Recall:
+		return "recall the leases"
+	case duty.Restore:
+		return "allow leases again"
+	case duty.Depose:
+		return "depose " + a.ID
 	case duty.Note:
 		return fmt.Sprintf("note %q %s", a.Text, a.Member)
 	default:
@@ -90,6 +98,10 @@
 	if d.HasArg("sync") {
 		d.ScanArgs(t, "sync", &view.SyncReplicas)
 	}
+	if d.HasArg("appointed") {
+		d.ScanArgs(t, "appointed", &view.Appointed)
+	}
+	view.MayPromote, view.Reassert = d.HasArg("released"), d.HasArg("reassert")
 	for line := range strings.SplitSeq(d.Input, "\n") {
 		f := strings.Fields(line)
 		m := duty.Member{ID: f[0]}
--- a/host/control.go
+++ b/host/control.go
@@ -15,6 +15,7 @@
 
 	"tamarackcross/config"
 	"tamarackcross/ctrl"
+	"tamarackcross/duty"
 	"tamarackcross/event"
 	"tamarackcross/ledger"
 	"tamarackcross/mesh"
@@ -51,6 +52,8 @@
 	roster      *roster.Table
 	node        *ctrl.Node
 	clients     *controlClients
+	leases      *leaseHolder // of the prober; nil if a promotion stops the former primary
+	giver       *leaseGiver  // nil likewise
 	http        *http.Server
 
 	mu               sync.Mutex
@@ -106,6 +109,10 @@
 		return mesh.SyncRequest{Name: s.Name, Zone: s.Zone, ConfigVersion: ^uint64(0), ProbedServices: probed, UnresponsiveMembers: unresponsive}
 	}
 	c.clients.onReply = c.applyRoster
+	if s.Succession == duty.Overlapping {
+		c.leases, c.giver = newLeaseHolder(p.Now, p.Log, p.Stats), newLeaseGiver(c.ledger, p.Now, p.Log)
+		c.clients.leases, c.clients.relied, c.clients.onLeases = c.leases, func() []string { return nil }, c.retryProofs
+	}
 	c.clients.setSeeds(c.ctx, s.Seeds)
 	c.http = &http.Server{Handler: p.Handler(c), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	go func() { c.ended <- ctrl.Serve(c.ctx, peerListener, mux) }()
@@ -231,6 +238,7 @@
 // than those of the request. While there are none it waits, at most in.Wait.
 func (c *Controller) Sync(ctx context.Context, in *mesh.SyncRequest) (*mesh.SyncReply, error) {
 	c.recordReport(in)
+	leases := c.leaseCall(in)
 	timer := time.NewTimer(min(in.Wait, longPollWait))
 	defer timer.Stop()
 	for {
@@ -249,14 +257,17 @@
 				reply.Peers = peers
 			}
 		}
-		if len(entries) > 0 || stored.Version > in.ConfigVersion || in.Incarnation != c.incarnation {
-			reply.Config = c.inlineConfig(in, stored)
+		leasesDiffer, leasesChanged := leases.differ()
+		if len(entries) > 0 || stored.Version > in.ConfigVersion || in.Incarnation != c.incarnation || leasesDiffer {
+			reply.Config, reply.Lease = c.inlineConfig(in, stored), leases.grant()
 			return reply, nil
 		}
 		select {
 		case <-configChanged:
 		case <-rosterChanged:
+		case <-leasesChanged:
 		case <-timer.C:
+			reply.Lease = leases.grant()
 			return reply, nil
 		case <-ctx.Done():
 			return reply, nil
@@ -310,8 +321,11 @@
 	c.lastProofRequest = c.deps.Now()
 	if c.prober == nil {
 		c.deps.Log.Info().Msg("an entry asked for a proof of primary; this control instance starts to probe the backend servers")
-		c.prober = proxy.New(c.deps.Dialer, c.roster, proxy.WithZone(c.settings.Zone), proxy.WithClock(c.deps.Now),
-			proxy.WithLog(c.deps.Log), proxy.WithSeed(c.deps.Seed))
+		opts := []proxy.Option{proxy.WithZone(c.settings.Zone), proxy.WithClock(c.deps.Now), proxy.WithLog(c.deps.Log), proxy.WithSeed(c.deps.Seed)}
+		if c.leases != nil {
+			opts = append(opts, proxy.WithLeases(c.leases))
+		}
+		c.prober = proxy.New(c.deps.Dialer, c.roster, opts...)
 	}
 	if doc != nil {
 		c.prober.Configure(doc)
--- a/host/control_client.go
+++ b/host/control_client.go
@@ -37,6 +37,9 @@
 	selfAddr   string // address of this instance, which needs no client; empty in the entry role
 	newRequest func() mesh.SyncRequest
 	onReply    func(addr string, r *mesh.SyncReply)
+	leases     *leaseHolder    // nil if this instance needs none
+	relied     func() []string // services that need a lease besides those that the request lists as probed
+	onLeases   func()          // called when the leases have changed
 	dial       mesh.DialFunc
 	now        func() time.Time
 	log        *event.Log
@@ -155,10 +158,19 @@
 	in := c.newRequest()
 	in.Incarnation, in.RosterRevision, in.Wait, in.PeersDigest = cc.incarnation, cc.rosterRevision, longPollWait, cc.peersDigest
 	in.ConfigVersion = max(in.ConfigVersion, cc.configVersion)
+	askedAt := c.now()
+	if c.leases != nil {
+		if services := c.relied(); len(services)+len(in.ProbedServices) > 0 {
+			in.Lease = c.leases.request(cc.addr, services)
+		}
+	}
 	reply, err := client.Sync(ctx, &in)
 	if err != nil {
 		return nil, err
 	}
+	if reply.Lease != nil && c.leases != nil && c.leases.apply(cc.addr, reply.Lease, askedAt) {
+		c.onLeases()
+	}
 	c.mu.Lock()
 	cc.lastAnswer, cc.incarnation, cc.rosterRevision, cc.zone = c.now(), reply.Incarnation, reply.RosterRevision, reply.Zone
 	cc.configVersion = reply.ConfigVersion
--- a/host/duty.go
+++ b/host/duty.go
@@ -13,6 +13,7 @@
 	"tamarackcross/event"
 	"tamarackcross/ledger"
 	"tamarackcross/proxy"
+	"tamarackcross/raft"
 	"tamarackcross/roster"
 )
 
@@ -38,6 +39,7 @@
 type supervision struct {
 	c             *Controller
 	log           *event.Log
+	term          raft.Term // of the supervisors
 	services      map[string]*duty.Supervisor
 	events        chan serviceEvent
 	gaugesUpdated time.Time // last update of the gauges
@@ -81,12 +83,8 @@
 // of actions that run at a time.
 const eventQueueSize = 256
 
-// runDuty supervises the services until ctx ends. It returns at once if the platform does
-// not take promotion orders.
+// runDuty supervises the services and grants leases until ctx ends.
 func (c *Controller) runDuty(ctx context.Context) error {
-	if c.deps.Promoter == nil {
-		return nil
-	}
 	s := &supervision{c: c, log: c.deps.Log, events: make(chan serviceEvent, eventQueueSize)}
 	defer s.wg.Wait()
 	t := time.NewTicker(supervisionInterval)
@@ -101,6 +99,10 @@
 			}
 		case <-t.C:
 			s.updateGauges(c.deps.Now())
+			if c.giver != nil {
+				c.giver.follow(c.node.Status())
+				c.renewOwnLeases()
+			}
 			s.updateViews(ctx)
 		}
 	}
@@ -113,25 +115,30 @@
 }
 
 // updateViews gives each supervisor the current state of its service. An instance that is not
-// the leader, or has lost its majority, discards all supervisors.
+// the leader, or has lost its majority, discards all supervisors. There are none if the platform
+// does not take promotion orders.
 func (s *supervision) updateViews(ctx context.Context) {
-	doc := s.c.document()
-	if doc == nil || !s.c.isCurrentLeader() {
+	doc, term := s.c.document(), s.c.node.Status().Term
+	if doc == nil || s.c.deps.Promoter == nil || !s.c.isCurrentLeader() {
 		s.services = nil
 		return
 	}
 	now := s.c.deps.Now()
-	if s.services == nil {
-		s.services = make(map[string]*duty.Supervisor)
+	if s.services == nil || s.term != term {
+		s.services, s.term = make(map[string]*duty.Supervisor), term
 	}
 	reports := s.c.allReports()
 	for name, cfg := range doc.Services {
 		sup := s.services[name]
 		if sup == nil {
-			sup = duty.New(now)
+			sup = duty.New(now, duty.WithSuccession(s.c.settings.Succession))
 			s.services[name] = sup
 		}
 		view := duty.View{Instances: countProbing(reports, name), SyncReplicas: cfg.SyncReplicas}
+		if s.c.giver != nil {
+			order, _ := s.c.ledger.PromotionOrder(name)
+			view.Appointed, view.MayPromote, view.Reassert = order.Target, s.c.giver.mayPromote(name, ""), s.c.giver.mustReassert(name)
+		}
 		for _, e := range s.c.roster.Members(name) {
 			view.Members = append(view.Members, duty.Member{
 				ID: e.ID, Primary: e.Primary, Draining: e.State == roster.Draining, FailingInstances: countFailing(reports, name, e.ID),
@@ -180,6 +187,12 @@
 			s.runAction(service, func() duty.Event { return s.issueToken(ctx, service, a.Target) })
 		case duty.Promote:
 			s.runAction(service, func() duty.Event { return s.promote(ctx, service, a) })
+		case duty.Recall:
+			s.c.giver.setRecalled(service, true)
+		case duty.Restore:
+			s.c.giver.setRecalled(service, false)
+		case duty.Depose:
+			s.wg.Go(func() { s.depose(ctx, service, a.ID) })
 		}
 	}
 }
@@ -215,10 +228,25 @@
 func (s *supervision) stepDown(ctx context.Context, service string, a duty.StepDown) duty.Event {
 	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
 	defer stop()
+	askedAt := s.c.deps.Now()
 	st, err := s.c.deps.Members.StepDown(ctx, s.target(service, a.ID), a.Term)
+	if err == nil && !st.Primary && s.c.giver != nil {
+		s.c.giver.recordStepDown(service, a.ID, askedAt)
+	}
 	return statusEvent(a.ID, st, err)
 }
 
+// depose makes a member step down if it acts as the primary.
+func (s *supervision) depose(ctx context.Context, service, id string) {
+	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
+	defer stop()
+	st, err := s.c.deps.Members.Status(ctx, s.target(service, id))
+	if err == nil && st.Primary {
+		s.stepDown(ctx, service, duty.StepDown{ID: id, Term: st.Term + 1})
+		s.log.Warn().Str("service", service).Str("member", id).Uint64("term", st.Term).Msg("member that is not appointed acted as the primary; it was asked to step down")
+	}
+}
+
 // statusEvent converts the outcome of a call to a member to an event.
 func statusEvent(id string, st proxy.MemberStatus, err error) duty.Event {
 	var f *proxy.Fault
@@ -232,7 +260,11 @@
 	ctx, stop := context.WithTimeout(ctx, tokenTimeout)
 	defer stop()
 	out := duty.TokenResult{Target: target}
-	cmd, err := ledger.Encode(ledger.OrderPromotion{Service: service, Target: target})
+	if s.c.giver != nil && !s.c.giver.mayPromote(service, target) {
+		out.Err = errReliedOn
+		return out
+	}
+	cmd, err := ledger.Encode(ledger.OrderPromotion{Service: service, Target: target, Track: s.c.giver != nil})
 	if err != nil {
 		out.Err = err
 		return out
@@ -248,16 +280,50 @@
 		return out
 	}
 	out.Token = order.Token
+	if s.c.giver != nil {
+		s.c.giver.recordOrder(service, target, order.Token)
+	}
 	return out
 }
 
+var errReliedOn = eris.New("instances may still rely on the former primary")
+
+// leaderValidity is how old the last confirmation of a leader may be when it sends an order. No
+// other member of control is elected sooner after it.
+const leaderValidity = raft.DefaultElectionTimeoutMin
+
 // promote sends a promotion order to the platform.
 func (s *supervision) promote(ctx context.Context, service string, a duty.Promote) duty.Event {
 	ctx, stop := context.WithTimeout(ctx, promoteTimeout)
 	defer stop()
+	sentAt, term := s.c.deps.Now(), s.c.node.Status().Term
 	err := s.c.deps.Promoter.Promote(ctx, PromotionOrder{
 		Service: service, Target: a.Target, DutyHolder: s.c.settings.Name, Token: a.Token,
+		MaySend: func() bool {
+			st := s.c.node.Status()
+			return st.Role == raft.Leader && st.Term == term && s.c.deps.Now().Sub(st.ConfirmedAt) < leaderValidity
+		},
 	})
+	if s.c.giver != nil {
+		s.closeOrders(ctx, service, s.c.giver.recordOutcome(service, a.Token, sentAt, err))
+	}
 	s.log.Warn().Err(err).Str("service", service).Str("member", a.Target).Uint64("token", a.Token).Msg("promotion ordered")
 	return duty.PromoteResult{Target: a.Target, Token: a.Token, Outdated: errors.Is(err, ErrOutdated), Err: err}
 }
+
+// closeOrders records in the log that the platform will not carry out some orders any more. If
+// that fails, the next leader waits for them in vain.
+func (s *supervision) closeOrders(ctx context.Context, service string, tokens []uint64) {
+	if len(tokens) == 0 {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, tokenTimeout)
+	defer stop()
+	cmd, err := ledger.Encode(ledger.CloseOrders{Service: service, Tokens: tokens})
+	if err == nil {
+		_, err = s.c.node.ProposeData(ctx, cmd)
+	}
+	if err != nil {
+		s.log.Warn().Err(err).Str("service", service).Msg("orders could not be recorded as closed; a new leader grants no lease of the service until they cannot be carried out any more")
+	}
+}
--- a/host/entry.go
+++ b/host/entry.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"tamarackcross/ctrl"
+	"tamarackcross/duty"
 	"tamarackcross/event"
 	"tamarackcross/mesh"
 	"tamarackcross/proxy"
@@ -40,6 +41,7 @@
 	roster         *roster.Table
 	server         *proxy.Server
 	control        *controlClients
+	leases         *leaseHolder // nil if a promotion stops the former primary
 	config         *configFetcher
 	instanceCount  instanceCount
 	proofs         *proofClient
@@ -91,7 +93,12 @@
 	e.control = newControlClients("", p.Dial, p.Now, p.Log, p.Stats)
 	e.proofs = &proofClient{control: e.control, dial: p.Dial, zone: s.Zone, clients: make(map[string]*mesh.Client)}
 	e.peerClient = relay.NewLinks(p.Dial)
+	if s.Succession == duty.Overlapping {
+		e.leases = newLeaseHolder(p.Now, p.Log, p.Stats)
+		opts = append(opts, proxy.WithLeases(e.leases))
+	}
 	e.server = proxy.New(p.Dialer, e.roster, append(opts, proxy.WithProver(e.proofs), proxy.WithPeerClient(e.peerClient))...)
+	e.control.leases, e.control.relied, e.control.onLeases = e.leases, e.server.DirectServices, e.server.RetryProofs
 	e.config = newConfigFetcher(e)
 	e.control.newRequest, e.control.onReply = e.syncRequest, e.applySync
 	e.control.setSeeds(e.ctx, s.Seeds)
--- a/host/host.go
+++ b/host/host.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"tamarackcross/config"
+	"tamarackcross/duty"
 	"tamarackcross/roster"
 )
 
@@ -29,6 +30,7 @@
 	GracePeriod  time.Duration // time that the platform allows for a shutdown
 	MemoryMB     int           // memory limit in MB; 0 for none
 	MaxFiles     int           // limit of open file descriptors; 0 for none
+	Succession   duty.Succession
 }
 
 // Control is the part of the control role that backend servers and operators call.
@@ -50,6 +52,9 @@
 	Target     string
 	DutyHolder string // name of the instance that gives the order
 	Token      uint64 // fencing token
+	// MaySend is called right before the order is sent. If it returns false, the order must not
+	// be sent any more. It may be nil.
+	MaySend func() bool
 }
 
 // Promoter sends promotion orders to the platform.
@@ -65,6 +70,8 @@
 	// ErrOutdated means that the platform rejected a promotion order because of its token or
 	// its target.
 	ErrOutdated = eris.New("the platform rejected the promotion order as outdated")
+	// ErrNotSent means that a promotion order was not sent.
+	ErrNotSent = eris.New("the promotion order was not sent")
 	// ErrNoLeader means that no control leader was reached. For a proof of primary it means
 	// that no control instance has answered lately.
 	ErrNoLeader = eris.New("no control leader could be reached")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -4,13 +4,16 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
 )
 
-// Command is a change of the ledger: PutConfig or OrderPromotion.
+// Command is a change of the ledger: PutConfig, OrderPromotion or CloseOrders.
 type Command interface{ command() }
 
 // PutConfig stores a configuration if its version is higher than the version in
@@ -21,14 +24,24 @@
 }
 
 // OrderPromotion records the order to make the backend server Target the primary
-// of Service. The index of the log entry is the fencing token of the order.
+// of Service. The index of the log entry is the fencing token of the order. If Track is
+// set, the order stays open until CloseOrders.
 type OrderPromotion struct {
 	Service string
 	Target  string
+	Track   bool `json:",omitempty"`
+}
+
+// CloseOrders records that the platform will not carry out the orders of Service with these
+// tokens any more.
+type CloseOrders struct {
+	Service string
+	Tokens  []uint64
 }
 
 func (PutConfig) command()      {}
 func (OrderPromotion) command() {}
+func (CloseOrders) command()    {}
 
 // Result is the result of applying a log entry.
 type Result interface{ result() }
@@ -44,11 +57,15 @@
 // are unique and later orders have higher ones.
 type PromotionResult struct{ Token uint64 }
 
+// OrdersClosed is the result of CloseOrders.
+type OrdersClosed struct{}
+
 // InvalidEntry is the result of a log entry that could not be decoded.
 type InvalidEntry struct{ Err error }
 
 func (ConfigResult) result()    {}
 func (PromotionResult) result() {}
+func (OrdersClosed) result()    {}
 func (InvalidEntry) result()    {}
 
 // Config is a stored configuration, as received from the operator.
@@ -61,6 +78,14 @@
 type PromotionOrder struct {
 	Target string
 	Token  uint64
+	Epoch  uint64      // token of the first of the latest orders that all named Target
+	Open   []OpenOrder // tracked orders that are not closed, this one among them
+}
+
+// OpenOrder is an order that the platform may still carry out.
+type OpenOrder struct {
+	Target string
+	Token  uint64
 }
 
 // Ledger holds the replicated state. It is safe for concurrent use.
@@ -80,6 +105,7 @@
 type record struct {
 	Config *PutConfig      `json:",omitempty"`
 	Order  *OrderPromotion `json:",omitempty"`
+	Close  *CloseOrders    `json:",omitempty"`
 }
 
 // New returns an empty ledger.
@@ -94,6 +120,8 @@
 		return json.Marshal(record{Config: &c})
 	case OrderPromotion:
 		return json.Marshal(record{Order: &c})
+	case CloseOrders:
+		return json.Marshal(record{Close: &c})
 	default:
 		return nil, eris.Errorf("ledger: unknown command %T", c)
 	}
@@ -112,8 +140,9 @@
 	case r.Config != nil:
 		return l.storeConfig(*r.Config)
 	case r.Order != nil:
-		l.state.Orders[r.Order.Service] = PromotionOrder{Target: r.Order.Target, Token: index}
-		return PromotionResult{Token: index}
+		return l.recordOrder(*r.Order, index)
+	case r.Close != nil:
+		return l.closeOrders(*r.Close)
 	}
 	return InvalidEntry{Err: eris.Errorf("ledger: entry %d contains no command", index)}
 }
@@ -127,6 +156,26 @@
 	return ConfigResult{Version: c.Version, Changed: true}
 }
 
+func (l *Ledger) recordOrder(c OrderPromotion, token uint64) Result {
+	old := l.state.Orders[c.Service]
+	next := PromotionOrder{Target: c.Target, Token: token, Epoch: token, Open: slices.Clone(old.Open)}
+	if old.Target == c.Target {
+		next.Epoch = cmp.Or(old.Epoch, old.Token) // entries of earlier builds have no epoch
+	}
+	if c.Track {
+		next.Open = append(next.Open, OpenOrder{Target: c.Target, Token: token})
+	}
+	l.state.Orders[c.Service] = next
+	return PromotionResult{Token: token}
+}
+
+func (l *Ledger) closeOrders(c CloseOrders) Result {
+	o := l.state.Orders[c.Service]
+	o.Open = slices.DeleteFunc(slices.Clone(o.Open), func(e OpenOrder) bool { return slices.Contains(c.Tokens, e.Token) })
+	l.state.Orders[c.Service] = o
+	return OrdersClosed{}
+}
+
 func (l *Ledger) notifyChange() {
 	close(l.configChanged)
 	l.configChanged = make(chan struct{})
@@ -140,14 +189,23 @@
 	return l.state.Config, l.configChanged
 }
 
-// PromotionOrder returns the latest promotion order for a service.
+// PromotionOrder returns the latest promotion order for a service. The caller must not change
+// its open orders.
 func (l *Ledger) PromotionOrder(service string) (PromotionOrder, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o, ok := l.state.Orders[service]
+	o.Epoch = cmp.Or(o.Epoch, o.Token)
 	return o, ok
 }
 
+// Orders returns the latest promotion order of each service that has one.
+func (l *Ledger) Orders() map[string]PromotionOrder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.state.Orders)
+}
+
 // Snapshot returns the encoded state.
 func (l *Ledger) Snapshot() []byte {
 	l.mu.Lock()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -58,8 +58,31 @@
 	}
 	cfg, _ := restored.Config()
 	order, _ := restored.PromotionOrder("s")
-	if cfg.Version != 2 || string(cfg.Body) != "two" || order != (ledger.PromotionOrder{Target: "b", Token: 6}) {
-		t.Fatalf("restored %+v and %+v", cfg, order)
+	if cfg.Version != 2 || string(cfg.Body) != "two" {
+		t.Fatalf("restored %+v", cfg)
+	}
+	if diff := cmp.Diff(ledger.PromotionOrder{Target: "b", Token: 6, Epoch: 6}, order); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// TestOrdersOfOneTarget guards against an epoch that changes while the same member is ordered
+// again, which would put acknowledged commits in doubt, and against open orders that a restart
+// from a snapshot forgets.
+func TestOrdersOfOneTarget(t *testing.T) {
+	l := ledger.New()
+	for index, target := range []string{"a", "b", "b"} {
+		apply(t, l, uint64(index+1), ledger.OrderPromotion{Service: "s", Target: target, Track: true})
+	}
+	apply(t, l, 4, ledger.CloseOrders{Service: "s", Tokens: []uint64{2}})
+	restored := ledger.New()
+	if err := restored.Restore(l.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	order, _ := restored.PromotionOrder("s")
+	want := ledger.PromotionOrder{Target: "b", Token: 3, Epoch: 2, Open: []ledger.OpenOrder{{Target: "a", Token: 1}, {Target: "b", Token: 3}}}
+	if diff := cmp.Diff(want, order); diff != "" {
+		t.Fatal(diff)
 	}
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -8,8 +8,11 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +24,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"tamarackcross/group"
+	"tamarackcross/lease"
 	"tamarackcross/roster"
 )
 
@@ -51,6 +55,33 @@
 	RosterRevision      uint64               `json:"Revision"`         // newest revision of the roster of the receiver that it has
 	Wait                time.Duration        // how long the receiver may hold the call while there is nothing new
 	UnresponsiveMembers []UnresponsiveMember `json:"Troubles"`
+	Lease               *LeaseRequest        `json:",omitempty"` // asks for leases; nil if the sender relies on no primary
+}
+
+// LeaseRequest asks for leases, and reports those that the sender has from the receiver.
+type LeaseRequest struct {
+	Services []string      `json:",omitempty"` // besides ProbedServices
+	Applied  uint64        `json:",omitempty"` // number of the last grant that the sender has applied
+	Digest   uint64        `json:",omitempty"` // of its appointments
+	Left     time.Duration `json:",omitempty"` // how long it is still in force
+}
+
+// LeaseReply grants leases. They replace the earlier ones of the sender.
+type LeaseReply struct {
+	Number       uint64
+	Valid        time.Duration                // from the time of the request
+	Digest       uint64                       `json:",omitempty"` // of the appointments
+	Appointments map[string]lease.Appointment `json:",omitempty"` // by service; left out if the digest is that of the request
+}
+
+// LeaseDigest returns a hash of appointments. It is used to detect that two sets differ.
+func LeaseDigest(appointments map[string]lease.Appointment) uint64 {
+	h := murmur3.New64()
+	for _, service := range slices.Sorted(maps.Keys(appointments)) {
+		a := appointments[service]
+		_, _ = fmt.Fprintf(h, "%s\x00%s\x00%d\x00", service, a.Member, a.Epoch) // writing to a hash cannot fail
+	}
+	return h.Sum64()
 }
 
 // SyncReply carries what the sender of the request lacks.
@@ -65,6 +96,7 @@
 	Zone           string         // zone of the control instance
 	PeersDigest    uint64         `json:"Digest"`     // digest of the peers in the zone of the requester
 	Peers          []Peer         `json:",omitempty"` // these peers, if the digest of the request differs
+	Lease          *LeaseReply    `json:",omitempty"` // nil unless the sender leads and was asked for leases
 }
 
 // Peer is an entry that serves requests which other entries of its zone forward.
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -282,8 +282,8 @@
 }
 
 // execAdmitted waits for a statement slot and runs a statement. limit bounds the wait
-// for the answer. If the admission queue rejects it, an errs.Error says so and nothing
-// has been sent.
+// for the answer. If the admission queue rejects it, or a lease that it needs is missing, an
+// errs.Error says so and nothing has been sent.
 func (c *backendConn) execAdmitted(ctx context.Context, w *operation, limit time.Duration, cmds ...Command) ([]Answer, error) {
 	m := c.member
 	permit, err := m.statementQueue.acquire(ctx, w.admissionRequest(w.svc.expectedDuration(w.session.database)))
@@ -291,6 +291,11 @@
 		return nil, err
 	}
 	defer m.statementQueue.release(permit)
+	if w.needsLease {
+		if err := w.requireLease(m); err != nil {
+			return nil, err
+		}
+	}
 	sent := m.now()
 	out, err := c.exec(limit, cmds...)
 	if w.replicationWait {
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -39,8 +39,10 @@
 	route           config.Route
 	svc             *service
 	attempts        int
-	notAdmitted     bool // the admission queue of this instance rejected the last attempt
-	replicationWait bool // the member may delay the current attempt until it has applied the read bound
+	notAdmitted     bool   // the admission queue of this instance rejected the last attempt
+	replicationWait bool   // the member may delay the current attempt until it has applied the read bound
+	needsLease      bool   // the current attempt relies on the member as the primary
+	epoch           uint64 // of the lease under which the current attempt was sent
 }
 
 func (w *operation) now() time.Time { return w.session.srv.now() }
@@ -365,8 +367,11 @@
 // awaitPrimary returns the member that last proved to be the primary. If there is none
 // or it does not answer, it waits for a new proof.
 func (w *operation) awaitPrimary(ctx context.Context) (*member, *Fault) {
+	w.svc.recordDirectUse()
 	if m := w.svc.primaryMember(); m != nil && m.failingFor(w.now()) == 0 {
-		return m, nil
+		if _, ok := w.svc.covers(m, w.now()); ok {
+			return m, nil
+		}
 	}
 	p, f := w.confirmPrimary(ctx, w.now())
 	return p.member, f
@@ -407,9 +412,10 @@
 		m.put(c, false)
 		return Answer{}, errs.ReasonBackendLost
 	}
+	w.needsLease = true
 	answers, err := c.execAdmitted(ctx, w, w.deadline().Sub(w.now()), w.command(readBound{}))
 	if e := errs.As(err); e != nil {
-		w.notAdmitted = true
+		w.notAdmitted = e.Reason() != errs.ReasonNoPrimary
 		m.put(c, true)
 		return Answer{}, e.Reason()
 	}
@@ -425,6 +431,9 @@
 	w.svc.recordOutcome(m, true)
 	a := answers[0]
 	m.put(c, a.Status == Idle)
+	if a.Fault == nil && !w.confirmed(ctx, m) {
+		return w.session.refuse(w.inDoubt(m, errUnconfirmed)), ""
+	}
 	if a.Fault == nil {
 		w.session.recordCommit(w.route.Service, timedPosition{at: w.now(), position: a.Position})
 		w.recordServed(m)
@@ -442,6 +451,8 @@
 	return w.session.refuse(a.Fault), ""
 }
 
+var errUnconfirmed = errors.New("another member may have become the primary before the answer")
+
 // recordOutcome reports the outcome of an attempt to the circuit breaker of the member.
 func (v *service) recordOutcome(m *member, ok bool) {
 	v.mu.Lock()
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -24,9 +24,9 @@
 
 // prober asks one member for its role and position, on a connection of its own that
 // no request can delay. A member that opens a transaction for writes is the primary
-// at that moment: a replaced primary refuses, whatever this instance assumes. The
-// position in its answer covers every commit that was acknowledged before the probe
-// began.
+// at that moment: a replaced primary refuses, whatever this instance assumes. Where a
+// replaced primary goes on instead, a lease has to name the member too. The position in
+// its answer covers every commit that was acknowledged before the probe began.
 type prober struct {
 	svc        *service
 	member     *member
@@ -97,10 +97,13 @@
 	p.member.recordProbe(nil, began)
 	first, last := answers[0], answers[len(answers)-1]
 	p.wasPrimary = first.Fault == nil
+	_, covered := p.svc.covers(p.member, began)
 	switch {
-	case p.wasPrimary:
+	case p.wasPrimary && covered:
 		p.svc.recordProof(p.member, began, first.Position)
 		p.svc.updateLag(p.member, first.Position)
+	case p.wasPrimary:
+		p.svc.updateLag(p.member, first.Position)
 	case first.Fault.Code == ReadOnly:
 		p.svc.clearPrimary(p.member.target.ID)
 	}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -37,6 +37,7 @@
 	zones       int // number of zones that share the backend servers
 	dialer      Dialer
 	prover      Prover     // nil if the instance always probes itself
+	leases      Leases     // nil if a promotion stops the former primary
 	peerClient  PeerClient // nil if the instance forwards nothing
 	peers       *peerSet
 	roster      *roster.Table
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -69,6 +69,7 @@
 	tightestMaxAge      time.Duration // least MaxAge of the routes, or 0 if none has one
 	lastHolderProof     time.Time     // newest proof of primary known to a holder
 	lastForwardSent     time.Time     // last request forwarded to a holder
+	lastDirectUse       time.Time     // last request that needed the primary and was not forwarded
 	fetcher             *proofFetcher
 	baselines           map[string]*durationBaseline // by database
 	breakers            *retry.Group
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -52,6 +52,7 @@
 	holderLink    *borrowedLink // set instead of conn if a holder runs the transaction
 	wrote         bool
 	valuesChanged bool
+	epoch         uint64 // of the lease under which it was opened for writes
 }
 
 func newSession(s *Server, c Caller, database, user string) *session {
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -119,8 +119,9 @@
 	return placement{member: m}, f
 }
 
-// openTxAt opens the transaction at one member. A member that opens one for writes is
-// the primary at that moment. An empty reason means success.
+// openTxAt opens the transaction at one member. A member that opens one for writes is the
+// primary at that moment, if a lease names it where one is needed. An empty reason means
+// success.
 func (w *operation) openTxAt(ctx context.Context, p placement) errs.Reason {
 	w.logRouted(p)
 	w.notAdmitted = false
@@ -133,6 +134,13 @@
 		return errs.ReasonBackendLost
 	}
 	tx := w.session.tx
+	if !tx.readOnly {
+		if err := w.requireLease(p.member); err != nil {
+			p.member.put(c, true)
+			return errs.ReasonNoPrimary
+		}
+		tx.epoch = w.epoch
+	}
 	answers, err := c.exec(min(dialTimeout, w.deadline().Sub(w.now())), BeginTx{ReadOnly: tx.readOnly, After: p.bound.position})
 	if err != nil {
 		p.member.put(c, false)
@@ -160,6 +168,7 @@
 func (w *operation) commit(ctx context.Context) Answer {
 	tx := w.session.tx
 	m := tx.conn.member
+	w.needsLease = tx.wrote
 	for {
 		answers, err := tx.conn.execAdmitted(ctx, w, w.deadline().Sub(w.now()), Run{ID: w.req.ID, Text: w.req.Text})
 		if e := errs.As(err); e != nil {
@@ -178,6 +187,10 @@
 		if a.Fault != nil {
 			return w.commitRefused(a)
 		}
+		if tx.wrote && (w.epoch != tx.epoch || !w.confirmed(ctx, m)) {
+			w.session.releaseTx(a.Status == Idle)
+			return w.session.refuse(w.inDoubt(m, errUnconfirmed))
+		}
 		if tx.wrote {
 			w.session.recordCommit(w.route.Service, timedPosition{at: w.now(), position: a.Position})
 		}
