entry: the duration of a statement whose connection was lost is not learned

Cause: the attempt on the silent connection ended after 5 s, its deadline, and that time was recorded as the duration of the shape. The next read of the shape was expected to take 5 s, as long as its deadline, and was not admitted. Seen by prints in the entry: the refused read never reached an execution. Writes with a key did not learn from failures already.

Ruled out: dropping idle connections (tried before), the silence limit (it does not apply without a known duration).

--- a/entry/run.go
+++ b/entry/run.go
@@ -72,7 +72,9 @@
 	x := c.newExecution(l.conn, req)
 	x.slotID = l.slotID
 	err = c.execute(ctx, x)
-	c.srv.learner.Observe(req.fingerprint, time.Since(start), time.Now())
+	if err == nil {
+		c.srv.learner.Observe(req.fingerprint, time.Since(start), time.Now())
+	}
 	l.member.reportToBreaker(err)
 	c.returnConn(x, err)
 	return x, err
