ctrl: a silent member of control does not use up the time of every call

What callers saw (TestScenarios/p7 in whole runs): after the control leader was cut off, keyed writes are answered not_run reason=queue_full for 15 s.

Cause: a client begins each call with the first member of its list. If that one is silent, it uses up the 400 ms of a report, every time: the new leader gets no report from any entry, withdraws no ownership, and nobody grants the slots of the backend servers that the lost instance owned. Load only decided which member led: the first of the list or another. Prints of the new leader showed all five entries without a report.

Change: a member at which a call failed is tried last; members that were not tried keep their place.

--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,10 +24,10 @@
 // Client calls the control log from any instance. It finds the leader and sends
 // the next calls to it.
 type Client struct {
-	addrs []string
-	dial  DialFunc
+	dial DialFunc
 
 	mu         sync.Mutex
+	addrs      []string // of the members, those at which a call failed last
 	leaderAddr string
 	connAddr   string // address that conn is connected to
 	conn       *drpcconn.Conn
@@ -34,7 +35,7 @@
 
 // NewClient returns a client of the control members at addrs.
 func NewClient(dial DialFunc, addrs ...string) *Client {
-	return &Client{addrs: addrs, dial: dial}
+	return &Client{addrs: slices.Clone(addrs), dial: dial}
 }
 
 // Close closes the connection to the control member.
@@ -77,6 +78,9 @@
 func (c *Client) callLeader(ctx context.Context, f func(context.Context, ctlpb.DRPCControlClient) (done bool, hint string, err error)) error {
 	for ctx.Err() == nil {
 		for _, addr := range c.addrsToTry() {
+			if ctx.Err() != nil {
+				return ErrNoLeader
+			}
 			var done bool
 			var hint string
 			err := c.call(ctx, addr, func(ctx context.Context, cl ctlpb.DRPCControlClient) (err error) {
@@ -87,6 +91,9 @@
 				c.setLeader(addr)
 				return nil
 			}
+			if err != nil {
+				c.tryLast(addr)
+			}
 			c.setLeader(hint)
 			if hint != "" {
 				break
@@ -105,11 +112,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leaderAddr == "" {
-		return c.addrs
+		return slices.Clone(c.addrs)
 	}
 	return append([]string{c.leaderAddr}, c.addrs...)
 }
 
+// tryLast puts an address behind the others. A silent member may use up the time of a call, and
+// the next one must not begin with it again.
+func (c *Client) tryLast(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i := slices.Index(c.addrs, addr); i >= 0 {
+		c.addrs = append(slices.Delete(c.addrs, i, i+1), addr)
+	}
+}
+
 func (c *Client) setLeader(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
