meas: the baseline gets its connections although the entries of its site hold some

What was seen (TestReplicas, TestShortWork, TestCrest): a caller connection ends with EOF in some runs, more often beside load.

Cause: the baseline pooler opens as many connections as a member accepts, while the entries of the same site keep some that they opened before. The member refuses with 'too many clients', which the measuring client reported as the end of the connection. A stack at the failed startup named the pooler in 3 of 3 cases; no entry had closed a connection.

Change: members accept twice as many connections beside the baseline, whose share stays the same. A refusal during startup is reported with its SQLSTATE.

--- a/meas/conn.go
+++ b/meas/conn.go
@@ -121,6 +121,9 @@
 	var a answer
 	for {
 		typ, body, err := c.frame()
+		if err != nil && a.sqlState != "" {
+			return a, eris.Wrapf(err, "%s %s", a.sqlState, a.detail)
+		}
 		if err != nil {
 			return a, err
 		}
--- a/meas/testbed.go
+++ b/meas/testbed.go
@@ -22,12 +22,22 @@
 	addrs    []string
 }
 
-// startTestbed starts a site. With the baseline its entries run, but get no load.
-func startTestbed(ctx context.Context, p Profile, v Variant, o Options) (*testbed, error) {
-	s, err := site.Start(ctx, p.Plan,
+// startSite starts the site of a testbed. The baseline uses as many connections as a member
+// accepts. The entries beside it keep some too, so that the members accept twice as many there.
+func startSite(ctx context.Context, p Profile, v Variant, o Options) (*site.Site, error) {
+	connections := p.Plan.Connections
+	if v == Baseline {
+		connections *= 2
+	}
+	return site.Start(ctx, p.Plan,
 		site.WithNetwork(p.networkOptions()...),
-		site.WithMember(emul.WithConnectTime(p.ConnectTime), emul.WithServiceTime(serviceTime)),
+		site.WithMember(emul.WithConnectTime(p.ConnectTime), emul.WithServiceTime(serviceTime), emul.WithConnections(connections)),
 		site.WithLog(o.Log))
+}
+
+// startTestbed starts a site. With the baseline its entries run, but get no load.
+func startTestbed(ctx context.Context, p Profile, v Variant, o Options) (*testbed, error) {
+	s, err := startSite(ctx, p, v, o)
 	if err != nil {
 		return nil, err
 	}
