entry: entries share the connections of a backend server also with a static directory

What was seen (TestConcurrentSessions, 1 of 700 runs): a session is answered 57P03, the emulated server refused a connection with 'too many clients already'.

Cause: StaticDirectory said that there is one entry. Two entries of a test then open 20 of 30 connections each.

Change: the number of entries of a static directory can be set; the test sites set it.

--- a/entry/directory.go
+++ b/entry/directory.go
@@ -51,12 +51,13 @@
 type StaticDirectory struct {
 	mu      sync.RWMutex
 	groups  map[string]Group
+	entries int
 	changed chan struct{}
 }
 
 // NewStaticDirectory returns a directory of the given groups.
 func NewStaticDirectory(groups ...Group) *StaticDirectory {
-	d := &StaticDirectory{groups: make(map[string]Group), changed: make(chan struct{})}
+	d := &StaticDirectory{groups: make(map[string]Group), entries: 1, changed: make(chan struct{})}
 	for _, g := range groups {
 		d.groups[g.Database] = g
 	}
@@ -83,8 +84,26 @@
 	return names
 }
 
-// Entries returns 1, because the directory knows of no other entries.
-func (d *StaticDirectory) Entries() int { return 1 }
+// Entries returns the number of entries that share the backend servers, by default 1.
+func (d *StaticDirectory) Entries() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.entries
+}
+
+// SetEntries sets the number of entries that share the backend servers.
+func (d *StaticDirectory) SetEntries(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries = n
+	d.notify()
+}
+
+// notify announces a change. The caller holds mu.
+func (d *StaticDirectory) notify() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
 
 // Changed returns a channel that is closed at the next change.
 func (d *StaticDirectory) Changed() <-chan struct{} {
@@ -101,6 +120,5 @@
 		return
 	}
 	d.groups[g.Database] = g
-	close(d.changed)
-	d.changed = make(chan struct{})
+	d.notify()
 }
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -468,6 +468,39 @@
 	expectEqual(t, "rows", fmt.Sprint(want), fmt.Sprint(len(rows[0].Rows)))
 }
 
+// TestConnectionsOfTwoEntries guards against entries that together open more connections than a
+// backend server accepts. A session may be refused for want of a connection, not because the
+// server refused one.
+func TestConnectionsOfTwoEntries(t *testing.T) {
+	const sessions = 36
+	s := startSite(t)
+	errc := make(chan error, sessions)
+	for i := range sessions {
+		c := s.connect(t, i%2, "")
+		go func() { errc <- holdTransaction(c, i) }()
+	}
+	for range sessions {
+		var refused *pgconn.PgError
+		if err := <-errc; err != nil && (!errors.As(err, &refused) || refused.Code != "53300") {
+			t.Error(err)
+		}
+	}
+}
+
+// holdTransaction keeps a transaction that has written open for a while.
+func holdTransaction(c *pgx.Conn, id int) error {
+	ctx := context.Background()
+	tx, err := c.Begin(ctx)
+	if err != nil {
+		return err
+	}
+	if _, err := tx.Exec(ctx, "INSERT INTO pairs (k, v) VALUES ($1, 'v')", fmt.Sprint("held-", id)); err != nil {
+		return err
+	}
+	time.Sleep(100 * time.Millisecond)
+	return tx.Commit(ctx)
+}
+
 // runMixedLoad alternates transactions of two writes, every second of which rolls
 // back, with reads that return a value of the session.
 func runMixedLoad(c *pgx.Conn, id, rounds int) error {
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -40,6 +40,7 @@
 		<-done
 	})
 	s.entries, s.addrs = append(s.entries, e), append(s.addrs, l.Addr().String())
+	s.dir.SetEntries(len(s.entries))
 	return e
 }
 
