entry, proxy: no session starts while the server closes

What was seen: the race detector reported WaitGroup.Wait beside an Add in (*Server).Close, once.

Cause: Serve accepts callers until its listener is closed, and Close waits for the sessions meanwhile. A caller that is accepted then starts a session for which nobody waits. proxy.Server had the same pattern.

Change: package tasks, a group that starts no goroutine once it is closed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,12 +13,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"tamarackcross/errs"
 	"tamarackcross/fleet"
 	"tamarackcross/learn"
 	"tamarackcross/stats"
+	"tamarackcross/tasks"
 	"tamarackcross/token"
 )
 
@@ -56,7 +56,7 @@
 
 	ctx  context.Context
 	stop context.CancelFunc
-	wg   conc.WaitGroup
+	wg   tasks.Group
 }
 
 // sessionShard is a shard of the session table, in which cancel requests find
@@ -186,7 +186,10 @@
 			}
 			return err
 		}
-		s.wg.Go(func() { s.handle(ctx, nc) })
+		if !s.wg.Go(func() { s.handle(ctx, nc) }) {
+			_ = nc.Close()
+			return nil
+		}
 	}
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -14,12 +14,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"tamarackcross/config"
 	"tamarackcross/event"
 	"tamarackcross/roster"
 	"tamarackcross/stats"
+	"tamarackcross/tasks"
 )
 
 const (
@@ -58,7 +58,7 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     conc.WaitGroup
+	wg     tasks.Group
 }
 
 // Option configures a Server.
@@ -279,7 +279,10 @@
 			}
 			return err
 		}
-		s.wg.Go(func() { s.handle(open(nc)) })
+		if !s.wg.Go(func() { s.handle(open(nc)) }) {
+			_ = nc.Close()
+			return nil
+		}
 	}
 }
 
