proxy: the test of log lines waits until the lines are written

Cause: the log writes lines in the background, and the test gave it 50 ms. A line that the writer had not reached is missing.

Change: the test logs a line of its own and waits until that one, and so all before it, has been written.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -91,6 +91,8 @@
 	version  uint64
 	maxConns int // of each backend server; 0 for the default of document
 	logged   logBuffer
+	log      *event.Log
+	markers  int // lines that awaitWritten has logged
 }
 
 // logBuffer keeps the log of an instance.
@@ -105,14 +107,30 @@
 	return b.text.Write(line)
 }
 
-// logWait is enough time for lines to leave the buffer of the log.
-const logWait = 50 * time.Millisecond
+// awaitWritten waits until the lines that were logged before have been written.
+func (r *harness) awaitWritten() {
+	r.t.Helper()
+	r.markers++
+	marker := fmt.Sprintf("marker %d of the test", r.markers)
+	r.log.Warn().Msg(marker)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if r.logged.contains(marker) {
+			return
+		}
+	}
+	r.t.Fatal("a logged line was not written within 5 s")
+}
+
+func (b *logBuffer) contains(text string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Contains(b.text.String(), text)
+}
 
 // linesAbout returns the log lines about a request, without the fields that differ
 // between runs.
 func (b *logBuffer) linesAbout(t *testing.T, id string) string {
 	t.Helper()
-	time.Sleep(logWait)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []string
@@ -140,8 +158,8 @@
 		t: t, group: &fakeGroup{members: map[string]*fakeMember{}, term: 1}, table: roster.New(),
 		conns: make(chan net.Conn), opened: make(chan *fakeCaller, 1), sessions: map[string]*fakeCaller{},
 	}
-	log := event.New(&r.logged, zerolog.InfoLevel, 1<<20, time.Now)
-	r.server = proxy.New(r.group, r.table, append(opts, proxy.WithZone("a"), proxy.WithLog(log))...)
+	r.log = event.New(&r.logged, zerolog.InfoLevel, 1<<20, time.Now)
+	r.server = proxy.New(r.group, r.table, append(opts, proxy.WithZone("a"), proxy.WithLog(r.log))...)
 	ended := make(chan error, 1)
 	go func() {
 		ended <- r.server.Serve(context.Background(), scriptedListener{r.conns}, func(net.Conn) proxy.Caller { return <-r.opened })
@@ -324,6 +342,7 @@
 				r.group.promote(d.CmdArgs[0].Key)
 				return "ok"
 			case "log":
+				r.awaitWritten()
 				return r.logged.linesAbout(t, d.CmdArgs[0].Key)
 			case "runs":
 				return r.takeExecuted(d.CmdArgs[0].Key)
