A lost primary is reported at once, and its own status is not waited for

What callers saw: 2.1 s without a primary after a silent loss, of which the platform needs 1.0 s for the promotion.

Change: a change of health is reported at once beside the held call; control adds the time since the report, at most 500 ms; the status of the missed primary is waited for 100 ms once all others have answered.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -122,6 +122,9 @@
 	noPrimaryTimeout = 3 * time.Second
 	// statusTimeout limits the wait for the status of the members.
 	statusTimeout = 400 * time.Millisecond
+	// oldPrimaryStatusTimeout limits the wait for the status of a primary that most instances
+	// get no answer from, once all others have answered.
+	oldPrimaryStatusTimeout = 100 * time.Millisecond
 	// catchUpTimeout limits the wait until the successor holds everything that the
 	// primary held when it stepped down.
 	catchUpTimeout = 1500 * time.Millisecond
@@ -230,7 +233,7 @@
 	case watching:
 		return s.checkPrimary(now)
 	case collectingStatus:
-		if now.Sub(s.phaseSince) >= statusTimeout || s.allAnswered() {
+		if now.Sub(s.phaseSince) >= statusTimeout || s.allAnswered() || s.othersAnswered(now) {
 			return s.chooseTarget(now)
 		}
 	case steppingDown:
@@ -326,6 +329,20 @@
 
 func (s *Supervisor) allAnswered() bool { return len(s.statuses) >= len(s.view.Members) }
 
+// othersAnswered reports whether all members but a failing primary answered, and the primary
+// has had its time.
+func (s *Supervisor) othersAnswered(now time.Time) bool {
+	if s.planned || s.oldPrimary == "" || now.Sub(s.phaseSince) < oldPrimaryStatusTimeout {
+		return false
+	}
+	for _, m := range s.view.Members {
+		if _, ok := s.statuses[m.ID]; !ok && m.ID != s.oldPrimary {
+			return false
+		}
+	}
+	return true
+}
+
 // chooseTarget chooses the member that received most as the successor. If commits
 // wait for replicas and the primary does not take part, every replica must have
 // answered: any of them may hold an acknowledged commit that the others lack.
--- a/host/control.go
+++ b/host/control.go
@@ -113,7 +113,7 @@
 		c.leases, c.giver = newLeaseHolder(p.Now, p.Log, p.Stats), newLeaseGiver(c.ledger, p.Now, p.Log)
 		c.clients.leases, c.clients.relied, c.clients.onLeases = c.leases, func() []string { return nil }, c.retryProofs
 	}
-	c.clients.setSeeds(c.ctx, s.Seeds)
+	c.clients.start(c.ctx, s.Seeds)
 	c.http = &http.Server{Handler: p.Handler(c), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	go func() { c.ended <- ctrl.Serve(c.ctx, peerListener, mux) }()
 	go func() { c.ended <- serveHTTP(c.http, apiListener) }()
@@ -238,6 +238,9 @@
 // than those of the request. While there are none it waits, at most in.Wait.
 func (c *Controller) Sync(ctx context.Context, in *mesh.SyncRequest) (*mesh.SyncReply, error) {
 	c.recordReport(in)
+	if in.ReportOnly {
+		return &mesh.SyncReply{}, nil
+	}
 	leases := c.leaseCall(in)
 	timer := time.NewTimer(min(in.Wait, longPollWait))
 	defer timer.Stop()
@@ -249,7 +252,7 @@
 		}
 		entries, revision, rosterChanged := c.roster.Since(revisionSeen)
 		reply := &mesh.SyncReply{
-			ConfigVersion: stored.Version, Incarnation: c.incarnation, RosterRevision: revision, RosterEntries: entries, ControlAddrs: c.controlAddrs(), EntryCount: c.entryCount(), Zone: c.settings.Zone,
+			ConfigVersion: stored.Version, Incarnation: c.incarnation, RosterRevision: revision, RosterEntries: entries, ControlAddrs: c.controlAddrs(), EntryCount: c.entryCount(), Zone: c.settings.Zone, Leads: c.isLeader(),
 		}
 		if in.Serves {
 			peers := c.peersInZone(in.Zone)
@@ -321,7 +324,10 @@
 	c.lastProofRequest = c.deps.Now()
 	if c.prober == nil {
 		c.deps.Log.Info().Msg("an entry asked for a proof of primary; this control instance starts to probe the backend servers")
-		opts := []proxy.Option{proxy.WithZone(c.settings.Zone), proxy.WithClock(c.deps.Now), proxy.WithLog(c.deps.Log), proxy.WithSeed(c.deps.Seed)}
+		opts := []proxy.Option{
+			proxy.WithZone(c.settings.Zone), proxy.WithClock(c.deps.Now), proxy.WithLog(c.deps.Log), proxy.WithSeed(c.deps.Seed),
+			proxy.WithHealthChanged(c.clients.reportNow),
+		}
 		if c.leases != nil {
 			opts = append(opts, proxy.WithLeases(c.leases))
 		}
--- a/host/control_client.go
+++ b/host/control_client.go
@@ -50,6 +50,9 @@
 	memberAddrs []string // control members, as a control instance listed them last
 	byAddr      map[string]*controlClient
 	removed     []*controlClient // cancelled; close waits for their goroutines
+
+	urgent      chan struct{}
+	reportsDone chan error // receives the result of runReports, if start was called
 }
 
 // controlClient is the client of one control instance, with the state from its last answer.
@@ -61,13 +64,21 @@
 	incarnation    uint64     // of the control role; 0 before the first answer
 	rosterRevision uint64     // newest revision of its roster that was received
 	zone           string     // of the control instance
+	leads          bool       // it said that it is the leader of control
 	configVersion  uint64     // newest version of the configuration that it announced
 	peersDigest    uint64
 	peers          []mesh.Peer // entries of the own zone, as the control instance lists them
 }
 
 func newControlClients(selfAddr string, dial mesh.DialFunc, now func() time.Time, log *event.Log, st *stats.Registry) *controlClients {
-	return &controlClients{selfAddr: selfAddr, dial: dial, now: now, log: log, stats: st, byAddr: make(map[string]*controlClient)}
+	return &controlClients{selfAddr: selfAddr, dial: dial, now: now, log: log, stats: st, byAddr: make(map[string]*controlClient), urgent: make(chan struct{}, 1)}
+}
+
+// start starts to send urgent reports and calls the control instances at the seeds.
+func (c *controlClients) start(ctx context.Context, seeds []string) {
+	c.reportsDone = make(chan error, 1)
+	go func() { c.reportsDone <- c.runReports(ctx) }()
+	c.setSeeds(ctx, seeds)
 }
 
 // setSeeds sets the control addresses that the settings list.
@@ -173,7 +184,7 @@
 	}
 	c.mu.Lock()
 	cc.lastAnswer, cc.incarnation, cc.rosterRevision, cc.zone = c.now(), reply.Incarnation, reply.RosterRevision, reply.Zone
-	cc.configVersion = reply.ConfigVersion
+	cc.configVersion, cc.leads = reply.ConfigVersion, reply.Leads
 	if reply.PeersDigest != cc.peersDigest {
 		cc.peersDigest, cc.peers = reply.PeersDigest, reply.Peers
 	}
@@ -293,4 +304,7 @@
 		cc.cancel()
 		<-cc.done
 	}
+	if c.reportsDone != nil {
+		<-c.reportsDone
+	}
 }
--- a/host/duty.go
+++ b/host/duty.go
@@ -141,7 +141,7 @@
 		}
 		for _, e := range s.c.roster.Members(name) {
 			view.Members = append(view.Members, duty.Member{
-				ID: e.ID, Primary: e.Primary, Draining: e.State == roster.Draining, FailingInstances: countFailing(reports, name, e.ID),
+				ID: e.ID, Primary: e.Primary, Draining: e.State == roster.Draining, FailingInstances: countFailing(reports, name, e.ID, now),
 			})
 		}
 		s.runActions(ctx, name, sup.Step(view, now))
@@ -159,13 +159,18 @@
 	return n
 }
 
+// maxReportExtrapolation is how long a member that did not answer an instance is taken not to
+// answer it after the report. An instance reports at once when the member answers again.
+const maxReportExtrapolation = 500 * time.Millisecond
+
 // countFailing returns the number of instances that have had no answer from a member for at
 // least duty.FailureThreshold.
-func countFailing(reports map[string]instanceReport, service, id string) int {
+func countFailing(reports map[string]instanceReport, service, id string, now time.Time) int {
 	n := 0
 	for _, r := range reports {
 		for _, t := range r.unresponsive {
-			if t.Service == service && t.ID == id && t.For >= duty.FailureThreshold {
+			since := t.For + min(now.Sub(r.at), maxReportExtrapolation)
+			if t.Service == service && t.ID == id && since >= duty.FailureThreshold {
 				n++
 			}
 		}
--- a/host/entry.go
+++ b/host/entry.go
@@ -66,8 +66,9 @@
 	}
 	e := &Entry{settings: s, deps: p, roster: roster.New(), ended: make(chan error, 3)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.control = newControlClients("", p.Dial, p.Now, p.Log, p.Stats)
 	opts := []proxy.Option{
-		proxy.WithName(s.Name), proxy.WithZone(s.Zone), proxy.WithZoneCount(s.ZoneCount), proxy.WithClock(p.Now), proxy.WithLog(p.Log), proxy.WithStats(p.Stats), proxy.WithSeed(p.Seed),
+		proxy.WithHealthChanged(e.control.reportNow), proxy.WithName(s.Name), proxy.WithZone(s.Zone), proxy.WithZoneCount(s.ZoneCount), proxy.WithClock(p.Now), proxy.WithLog(p.Log), proxy.WithStats(p.Stats), proxy.WithSeed(p.Seed),
 	}
 	if s.MaxFiles > 0 {
 		opts = append(opts, proxy.WithMaxSessions(int(float64(s.MaxFiles)/filesPerSession)))
@@ -90,7 +91,6 @@
 	}
 	e.instanceCount.update(assumedInstances, p.Now())
 	e.callerListener = callerListener
-	e.control = newControlClients("", p.Dial, p.Now, p.Log, p.Stats)
 	e.proofs = &proofClient{control: e.control, dial: p.Dial, zone: s.Zone, clients: make(map[string]*mesh.Client)}
 	e.peerClient = relay.NewLinks(p.Dial)
 	if s.Succession == duty.Overlapping {
@@ -101,7 +101,7 @@
 	e.control.leases, e.control.relied, e.control.onLeases = e.leases, e.server.DirectServices, e.server.RetryProofs
 	e.config = newConfigFetcher(e)
 	e.control.newRequest, e.control.onReply = e.syncRequest, e.applySync
-	e.control.setSeeds(e.ctx, s.Seeds)
+	e.control.start(e.ctx, s.Seeds)
 	e.readyServer = &http.Server{Handler: p.Ready(e.Ready), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	go func() { e.ended <- e.server.Serve(e.ctx, callerListener, p.Open) }()
 	go func() { e.ended <- serveHTTP(e.readyServer, readyListener) }()
--- /dev/null
+++ b/host/urgent.go
@@ -0,0 +1,78 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"tamarackcross/mesh"
+)
+
+const (
+	// urgentReportInterval is the least time between two reports beside the Sync calls.
+	urgentReportInterval = 50 * time.Millisecond
+	// urgentReportTimeout bounds one of them. Later, a Sync call has carried the report.
+	urgentReportTimeout = 600 * time.Millisecond
+)
+
+// reportNow sends the state of this instance to the leader of control without waiting for the
+// end of the Sync call that is held. It never blocks.
+func (c *controlClients) reportNow() {
+	select {
+	case c.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// runReports sends the reports that reportNow requests until ctx ends.
+func (c *controlClients) runReports(ctx context.Context) error {
+	var client *mesh.Client
+	defer func() {
+		if client != nil {
+			client.Close()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.urgent:
+		}
+		if addr := c.leader(); addr != "" {
+			if client == nil || client.Addr() != addr {
+				if client != nil {
+					client.Close()
+				}
+				client = mesh.NewClient(addr, c.dial)
+			}
+			c.report(ctx, client)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(urgentReportInterval):
+		}
+	}
+}
+
+// report sends the state of this instance. What the reply carries arrives with the Sync calls.
+func (c *controlClients) report(parent context.Context, client *mesh.Client) {
+	ctx, stop := context.WithTimeout(parent, urgentReportTimeout)
+	defer stop()
+	in := c.newRequest()
+	in.ReportOnly = true
+	if _, err := client.Sync(ctx, &in); err != nil && parent.Err() == nil {
+		c.log.Debug().Err(err).Str("control", client.Addr()).Msg("report of an unresponsive backend server failed; the next Sync call carries it")
+	}
+}
+
+// leader returns the address of the control instance that said last that it leads, or "".
+func (c *controlClients) leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addr, at := "", time.Time{}
+	for a, cc := range c.byAddr {
+		if cc.leads && cc.lastAnswer.After(at) {
+			addr, at = a, cc.lastAnswer
+		}
+	}
+	return addr
+}
--- /dev/null
+++ b/host/urgent_test.go
@@ -0,0 +1,92 @@
+package host
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"storj.io/drpc/drpcmux"
+
+	"tamarackcross/ctrl"
+	"tamarackcross/event"
+	"tamarackcross/mesh"
+	"tamarackcross/stats"
+)
+
+// heldControl is a control instance that leads. It answers the first Sync call at once and holds
+// the others.
+type heldControl struct {
+	mesh.Handler
+	held    chan struct{}
+	reports chan *mesh.SyncRequest
+}
+
+func (h *heldControl) Sync(ctx context.Context, in *mesh.SyncRequest) (*mesh.SyncReply, error) {
+	switch {
+	case in.ReportOnly:
+		h.reports <- in
+		return &mesh.SyncReply{}, nil
+	case in.Incarnation == 0:
+		return &mesh.SyncReply{Incarnation: 1, Leads: true}, nil
+	}
+	h.held <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestReportWhileSyncIsHeld guards against a backend server whose loss control learns of only
+// when the Sync call that it holds ends.
+func TestReportWhileSyncIsHeld(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &heldControl{held: make(chan struct{}, 1), reports: make(chan *mesh.SyncRequest, 1)}
+	mux := drpcmux.New()
+	if err := mesh.Register(mux, h, nil); err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- ctrl.Serve(ctx, l, mux) }()
+	c := newControlClients("", mesh.Dial, time.Now, event.Nop(), stats.New(nil))
+	c.newRequest = func() mesh.SyncRequest {
+		return mesh.SyncRequest{Name: "front-1", UnresponsiveMembers: []mesh.UnresponsiveMember{{Service: "svc", ID: "m1", For: time.Second}}}
+	}
+	c.onReply = func(string, *mesh.SyncReply) {}
+	c.start(ctx, []string{l.Addr().String()})
+	<-h.held
+	c.reportNow()
+	select {
+	case in := <-h.reports:
+		if diff := cmp.Diff("m1", in.UnresponsiveMembers[0].ID); diff != "" {
+			t.Error(diff)
+		}
+	case <-time.After(longPollWait / 2):
+		t.Error("no report arrived while the Sync call was held")
+	}
+	stop()
+	c.close()
+	<-served
+}
+
+// TestFailingWhileNoNewReport guards against a backend server that counts as failing only with
+// the report after the one that named it.
+func TestFailingWhileNoNewReport(t *testing.T) {
+	now := time.Unix(100, 0)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	unresponsive := func(d time.Duration) []mesh.UnresponsiveMember {
+		return []mesh.UnresponsiveMember{{Service: "svc", ID: "m1", For: d}}
+	}
+	reports := map[string]instanceReport{
+		"long enough with the time since": {at: ago(210 * time.Millisecond), unresponsive: unresponsive(300 * time.Millisecond)},
+		"not long enough":                 {at: ago(100 * time.Millisecond), unresponsive: unresponsive(300 * time.Millisecond)},
+		"a report too old to go on":       {at: ago(1900 * time.Millisecond), unresponsive: unresponsive(-100 * time.Millisecond)},
+	}
+	if got := countFailing(reports, "svc", "m1", now); got != 1 {
+		t.Errorf("the member counts as failing at %d instances, want 1", got)
+	}
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -56,6 +56,7 @@
 	Wait                time.Duration        // how long the receiver may hold the call while there is nothing new
 	UnresponsiveMembers []UnresponsiveMember `json:"Troubles"`
 	Lease               *LeaseRequest        `json:",omitempty"` // asks for leases; nil if the sender relies on no primary
+	ReportOnly          bool                 `json:",omitempty"` // the receiver replies at once, with nothing
 }
 
 // LeaseRequest asks for leases, and reports those that the sender has from the receiver.
@@ -97,6 +98,7 @@
 	PeersDigest    uint64         `json:"Digest"`     // digest of the peers in the zone of the requester
 	Peers          []Peer         `json:",omitempty"` // these peers, if the digest of the request differs
 	Lease          *LeaseReply    `json:",omitempty"` // nil unless the sender leads and was asked for leases
+	Leads          bool           `json:",omitempty"` // the sender is the leader of control
 }
 
 // Peer is an entry that serves requests which other entries of its zone forward.
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -91,10 +91,13 @@
 	}
 	if err != nil {
 		p.closeConn()
-		p.member.recordProbe(err, began)
+	}
+	if p.member.recordProbe(err, began) {
+		p.svc.srv.healthChanged()
+	}
+	if err != nil {
 		return
 	}
-	p.member.recordProbe(nil, began)
 	first, last := answers[0], answers[len(answers)-1]
 	p.wasPrimary = first.Fault == nil
 	_, covered := p.svc.covers(p.member, began)
@@ -250,15 +253,20 @@
 	m.setLag(lag, now)
 }
 
-// recordProbe records the outcome of a probe. A refusal counts as an answer.
-func (m *member) recordProbe(err error, began time.Time) {
+// recordProbe records the outcome of a probe, and reports whether the member has started or
+// stopped to answer. A refusal counts as an answer.
+func (m *member) recordProbe(err error, began time.Time) bool {
 	var f *Fault
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	failing := !m.failingSince.IsZero()
 	switch {
 	case err == nil || errors.As(err, &f):
 		m.failingSince = time.Time{}
-	case m.failingSince.IsZero():
+		return failing
+	case !failing:
 		m.failingSince = began
+		return true
 	}
+	return false
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -46,6 +46,9 @@
 	stats       *stats.Registry
 	seed        uint64
 	maxSessions int
+	// healthChanged is called when a backend server starts or stops to answer probes. It must
+	// not block.
+	healthChanged func()
 
 	doc       atomic.Pointer[config.Document]
 	instances atomic.Int64 // number of instances that share the backend servers
@@ -82,6 +85,10 @@
 // WithMaxSessions bounds the number of open sessions.
 func WithMaxSessions(n int) Option { return func(s *Server) { s.maxSessions = n } }
 
+// WithHealthChanged sets a function that is called when a backend server starts or stops to
+// answer probes. It must not block.
+func WithHealthChanged(f func()) Option { return func(s *Server) { s.healthChanged = f } }
+
 // defaultMaxSessions fits the limit on file descriptors that an instance usually has.
 const defaultMaxSessions = 3500
 
@@ -90,7 +97,7 @@
 func New(d Dialer, t *roster.Table, opts ...Option) *Server {
 	s := &Server{
 		dialer: d, roster: t, now: time.Now, log: event.Nop(), seed: 1, zones: 1, maxSessions: defaultMaxSessions,
-		services: make(map[string]*service), sessions: make(map[*session]struct{}),
+		services: make(map[string]*service), sessions: make(map[*session]struct{}), healthChanged: func() {},
 	}
 	for _, opt := range opts {
 		opt(s)
