--- a/cmds/hosted.go
+++ b/cmds/hosted.go
@@ -36,9 +36,6 @@
 	// settingsCheckInterval is the time between checks of the settings file, which
 	// may change without a signal.
 	settingsCheckInterval = 2 * time.Second
-	// backendUser is the user for connections to backend servers.
-	backendUser = "tamarackcross"
-
 	roleEntry   = "entry"
 	roleControl = "control"
 )
@@ -158,7 +155,7 @@
 
 func (c *hostedCommand) start(s host.Settings, st *stats.Registry, log *event.Log) (hostedRole, error) {
 	seed := rand.Uint64()
-	dialer := platform.Dialer{User: backendUser}
+	dialer := platform.Dialer{User: s.Name}
 	if c.role == roleEntry {
 		return host.StartEntry(s, host.EntryDeps{
 			Dialer: dialer, Open: platform.NewCaller, Ready: platform.ReadyHandler, Decode: platform.DecodeConfig,
