--- a/lease/lease.go
+++ b/lease/lease.go
@@ -25,7 +25,7 @@
 const (
 	// Duration is how long a lease lasts from the time at which a majority confirmed the
 	// leader that grants it. Three renewals fit into it, or an election and one renewal.
-	Duration = 1500 * time.Millisecond
+	Duration = 1200 * time.Millisecond
 	// driftMargin is how much longer control waits, for clocks that run at rates which
 	// differ by up to 2%.
 	driftMargin = Duration / 50
