host: a Sync call costs the same whatever the number of instances; gauges cost nothing while nobody reads them

Cause, by reading and by benchmark: for each Sync call control copied the reports of all instances twice and sorted those of the zone, and the leader went through all reports for each service and each member every 50 ms. Each entry updated eight gauges of each member of each service twice a second.

--- a/host/config_link_test.go
+++ b/host/config_link_test.go
@@ -107,12 +107,12 @@
 
 // controlGroup is a group of control instances on loopback.
 type controlGroup struct {
-	t     *testing.T
+	t     testing.TB
 	peers []string
 	all   []*Controller
 }
 
-func startControlGroup(t *testing.T, n int) *controlGroup {
+func startControlGroup(t testing.TB, n int) *controlGroup {
 	g := &controlGroup{t: t}
 	for range n {
 		g.peers = append(g.peers, unusedAddr(t))
@@ -168,7 +168,7 @@
 	return e
 }
 
-func unusedAddr(t *testing.T) string {
+func unusedAddr(t testing.TB) string {
 	t.Helper()
 	addrs, err := emul.ReserveAddrs(emul.ProcessHost(), 1)
 	if err != nil {
@@ -178,7 +178,7 @@
 }
 
 // waitForVersion fails the test unless the entry has the version within configLimit.
-func waitForVersion(t *testing.T, e *Entry, version uint64) {
+func waitForVersion(t testing.TB, e *Entry, version uint64) {
 	t.Helper()
 	for end := time.Now().Add(configLimit); e.server.Version() < version; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/host/control.go
+++ b/host/control.go
@@ -5,8 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -39,9 +37,6 @@
 	Seed     uint64
 }
 
-// reportTimeout is how long the last report of an instance counts.
-const reportTimeout = 2 * time.Second
-
 // Controller is the control role of one instance.
 type Controller struct {
 	settings    Settings
@@ -50,6 +45,7 @@
 	ledger      *ledger.Ledger
 	versions    patch.History // of the configuration
 	roster      *roster.Table
+	reports     *reportTable
 	node        *ctrl.Node
 	clients     *controlClients
 	leases      *leaseHolder // of the prober; nil if a promotion stops the former primary
@@ -59,7 +55,6 @@
 	mu               sync.Mutex
 	prober           *proxy.Server // probes members for the entries; nil while no entry asks for proofs
 	lastProofRequest time.Time     // time of the last Prove call of an entry
-	reports          map[string]instanceReport
 	doc              *config.Document
 
 	ctx        context.Context
@@ -69,22 +64,11 @@
 	configDone chan error // receives the result of followConfig
 }
 
-// instanceReport is the state that an instance sent with its last Sync call.
-type instanceReport struct {
-	zone         string
-	serves       bool   // it is an entry
-	addr         string // where it serves forwarded requests
-	leaving      bool
-	probed       []string // services whose members the instance probes
-	at           time.Time
-	unresponsive []mesh.UnresponsiveMember // members that do not answer it
-}
-
 // StartControl opens the log in the data directory and starts the control role.
 func StartControl(s Settings, p ControlDeps) (*Controller, error) {
 	c := &Controller{
 		settings: s, deps: p, incarnation: rand.Uint64() | 1, ledger: ledger.New(), roster: roster.New(),
-		reports: make(map[string]instanceReport), ended: make(chan error, 3), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
+		reports: newReportTable(), ended: make(chan error, 3), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	peerListener, err := mesh.Listen(c.ctx, s.PeerAddr)
@@ -102,6 +86,7 @@
 	if err := errors.Join(c.node.Register(mux), mesh.Register(mux, meshHandler{c}, c.recordSent)); err != nil {
 		return nil, errors.Join(err, peerListener.Close(), apiListener.Close(), c.node.Close())
 	}
+	p.Stats.Gauges(c.setGauges)
 	c.clients = newControlClients(s.PeerAddr, mesh.Dial, p.Now, p.Log, p.Stats)
 	// The highest ConfigVersion requests no announcement: the configuration arrives with the log.
 	c.clients.newRequest = func() mesh.SyncRequest {
@@ -251,13 +236,14 @@
 			revisionSeen = 0
 		}
 		entries, revision, rosterChanged := c.roster.Since(revisionSeen)
+		reports := c.reports.summarize(c.deps.Now())
 		reply := &mesh.SyncReply{
-			ConfigVersion: stored.Version, Incarnation: c.incarnation, RosterRevision: revision, RosterEntries: entries, ControlAddrs: c.controlAddrs(), EntryCount: c.entryCount(), Zone: c.settings.Zone, Leads: c.isLeader(),
+			ConfigVersion: stored.Version, Incarnation: c.incarnation, RosterRevision: revision, RosterEntries: entries, ControlAddrs: c.controlAddrs(), EntryCount: reports.entries, Zone: c.settings.Zone, Leads: c.isLeader(),
 		}
 		if in.Serves {
-			peers := c.peersInZone(in.Zone)
-			if reply.PeersDigest = mesh.Digest(peers); reply.PeersDigest != in.PeersDigest {
-				reply.Peers = peers
+			peers := reports.peers[in.Zone]
+			if reply.PeersDigest = peers.digest; reply.PeersDigest != in.PeersDigest {
+				reply.Peers = peers.list
 			}
 		}
 		leasesDiffer, leasesChanged := leases.differ()
@@ -280,36 +266,14 @@
 
 // recordReport stores the state that a Sync request carries.
 func (c *Controller) recordReport(in *mesh.SyncRequest) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reports[in.Name] = instanceReport{
+	c.reports.put(in.Name, instanceReport{
 		zone: in.Zone, serves: in.Serves, addr: in.Addr, leaving: in.Leaving, probed: in.ProbedServices,
 		at: c.deps.Now(), unresponsive: in.UnresponsiveMembers,
-	}
+	})
 }
 
 // entryCount returns the number of live entries.
-func (c *Controller) entryCount() int {
-	n := 0
-	for _, r := range c.liveReports() {
-		if r.serves {
-			n++
-		}
-	}
-	return n
-}
-
-// peersInZone lists the entries of a zone to which other entries may forward requests.
-func (c *Controller) peersInZone(zone string) []mesh.Peer {
-	var out []mesh.Peer
-	for name, r := range c.liveReports() {
-		if r.serves && !r.leaving && r.zone == zone && r.addr != "" {
-			out = append(out, mesh.Peer{Name: name, Addr: r.addr})
-		}
-	}
-	slices.SortFunc(out, func(a, b mesh.Peer) int { return strings.Compare(a.Name, b.Name) })
-	return out
-}
+func (c *Controller) entryCount() int { return c.reports.summarize(c.deps.Now()).entries }
 
 // probeIdleTimeout is how long this instance goes on probing members after an entry last
 // asked for a proof of primary.
@@ -373,30 +337,13 @@
 
 // allReports returns the live reports, and that of this instance if it probes members.
 func (c *Controller) allReports() map[string]instanceReport {
-	out := c.liveReports()
+	out := c.reports.live(c.deps.Now())
 	if unresponsive, probed := c.probeResults(); len(probed) > 0 {
 		out[c.settings.Name] = instanceReport{zone: c.settings.Zone, probed: probed, unresponsive: unresponsive}
 	}
 	return out
 }
 
-// liveReports returns the reports that are not older than reportTimeout, and deletes the
-// others.
-func (c *Controller) liveReports() map[string]instanceReport {
-	now := c.deps.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := make(map[string]instanceReport, len(c.reports))
-	for name, r := range c.reports {
-		if now.Sub(r.at) > reportTimeout {
-			delete(c.reports, name)
-			continue
-		}
-		out[name] = r
-	}
-	return out
-}
-
 func (c *Controller) controlAddrs() []string {
 	members := c.node.Status().Members
 	out := make([]string, 0, len(members))
--- a/host/duty.go
+++ b/host/duty.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +14,7 @@
 	"tamarackcross/proxy"
 	"tamarackcross/raft"
 	"tamarackcross/roster"
+	"tamarackcross/stats"
 )
 
 // MemberCalls calls backend servers. Both calls return the status of the member.
@@ -37,40 +37,30 @@
 // supervision runs a supervisor for each service while this instance is the leader, and
 // carries out the actions that the supervisors decide.
 type supervision struct {
-	c             *Controller
-	log           *event.Log
-	term          raft.Term // of the supervisors
-	services      map[string]*duty.Supervisor
-	events        chan serviceEvent
-	gaugesUpdated time.Time // last update of the gauges
-	wg            conc.WaitGroup
+	c        *Controller
+	log      *event.Log
+	term     raft.Term // of the supervisors
+	services map[string]*duty.Supervisor
+	events   chan serviceEvent
+	wg       conc.WaitGroup
 }
 
-// gaugeUpdateInterval is the time between updates of the gauges of the control role.
-const gaugeUpdateInterval = time.Second
-
-// updateGauges sets the gauges of the control role, at most once in gaugeUpdateInterval.
-func (s *supervision) updateGauges(now time.Time) {
-	if now.Sub(s.gaugesUpdated) < gaugeUpdateInterval {
-		return
-	}
-	s.gaugesUpdated = now
-	st, c := s.c.deps.Stats, s.c
+// setGauges sets the gauges of the control role.
+func (c *Controller) setGauges(set stats.SetGauge) {
 	status := c.node.Status()
 	stored, _ := c.ledger.Config()
 	leader := 0.0
 	if c.isCurrentLeader() {
 		leader = 1
 	}
-	st.SetGauge("leader", nil, leader)
-	st.SetGauge("log_term", nil, float64(status.Term))
-	st.SetGauge("log_commit", nil, float64(status.Commit))
-	st.SetGauge("control_members", nil, float64(len(status.Members)))
-	st.SetGauge("config_version", nil, float64(stored.Version))
-	st.SetGauge("entries", nil, float64(c.entryCount()))
-	st.SetGauge("roster_revision", nil, float64(c.roster.Revision()))
-	st.SetGauge("log_lines_dropped", nil, float64(s.log.Dropped()))
-	st.UpdateRuntimeGauges()
+	set("leader", nil, leader)
+	set("log_term", nil, float64(status.Term))
+	set("log_commit", nil, float64(status.Commit))
+	set("control_members", nil, float64(len(status.Members)))
+	set("config_version", nil, float64(stored.Version))
+	set("entries", nil, float64(c.entryCount()))
+	set("roster_revision", nil, float64(c.roster.Revision()))
+	set("log_lines_dropped", nil, float64(c.deps.Log.Dropped()))
 }
 
 // serviceEvent is the outcome of an action, for the supervisor of a service.
@@ -98,7 +88,6 @@
 				s.runActions(ctx, e.service, sup.Step(e.event, c.deps.Now()))
 			}
 		case <-t.C:
-			s.updateGauges(c.deps.Now())
 			if c.giver != nil {
 				c.giver.follow(c.node.Status())
 				c.renewOwnLeases()
@@ -127,57 +116,27 @@
 	if s.services == nil || s.term != term {
 		s.services, s.term = make(map[string]*duty.Supervisor), term
 	}
-	reports := s.c.allReports()
+	health := summarizeHealth(s.c.allReports(), now)
 	for name, cfg := range doc.Services {
 		sup := s.services[name]
 		if sup == nil {
 			sup = duty.New(now, duty.WithSuccession(s.c.settings.Succession))
 			s.services[name] = sup
 		}
-		view := duty.View{Instances: countProbing(reports, name), SyncReplicas: cfg.SyncReplicas}
+		view := duty.View{Instances: health.probing[name], SyncReplicas: cfg.SyncReplicas}
 		if s.c.giver != nil {
 			order, _ := s.c.ledger.PromotionOrder(name)
 			view.Appointed, view.MayPromote, view.Reassert = order.Target, s.c.giver.mayPromote(name, ""), s.c.giver.mustReassert(name)
 		}
 		for _, e := range s.c.roster.Members(name) {
 			view.Members = append(view.Members, duty.Member{
-				ID: e.ID, Primary: e.Primary, Draining: e.State == roster.Draining, FailingInstances: countFailing(reports, name, e.ID, now),
+				ID: e.ID, Primary: e.Primary, Draining: e.State == roster.Draining, FailingInstances: health.failing[memberKey{name, e.ID}],
 			})
 		}
 		s.runActions(ctx, name, sup.Step(view, now))
 	}
 }
 
-// countProbing returns the number of instances that probe the members of a service.
-func countProbing(reports map[string]instanceReport, service string) int {
-	n := 0
-	for _, r := range reports {
-		if slices.Contains(r.probed, service) {
-			n++
-		}
-	}
-	return n
-}
-
-// maxReportExtrapolation is how long a member that did not answer an instance is taken not to
-// answer it after the report. An instance reports at once when the member answers again.
-const maxReportExtrapolation = 500 * time.Millisecond
-
-// countFailing returns the number of instances that have had no answer from a member for at
-// least duty.FailureThreshold.
-func countFailing(reports map[string]instanceReport, service, id string, now time.Time) int {
-	n := 0
-	for _, r := range reports {
-		for _, t := range r.unresponsive {
-			since := t.For + min(now.Sub(r.at), maxReportExtrapolation)
-			if t.Service == service && t.ID == id && since >= duty.FailureThreshold {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // runActions starts the actions that a supervisor decided.
 func (s *supervision) runActions(ctx context.Context, service string, actions []duty.Action) {
 	for _, a := range actions {
--- a/host/urgent_test.go
+++ b/host/urgent_test.go
@@ -86,7 +86,7 @@
 		"not long enough":                 {at: ago(100 * time.Millisecond), unresponsive: unresponsive(300 * time.Millisecond)},
 		"a report too old to go on":       {at: ago(1900 * time.Millisecond), unresponsive: unresponsive(-100 * time.Millisecond)},
 	}
-	if got := countFailing(reports, "svc", "m1", now); got != 1 {
+	if got := summarizeHealth(reports, now).failing[memberKey{"svc", "m1"}]; got != 1 {
 		t.Errorf("the member counts as failing at %d instances, want 1", got)
 	}
 }
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tamarackcross/event"
+	"tamarackcross/stats"
 )
 
 // UnresponsiveMember is a backend server that does not answer the probes of this
@@ -31,23 +32,25 @@
 	return out
 }
 
-// maintain closes expired connections, reports the metrics of the members and logs
-// changes of their status.
+// maintain closes expired connections and logs changes of the status of members.
 func (v *service) maintain(now time.Time) {
-	v.mu.Lock()
-	members := make([]*member, 0, len(v.members))
-	for _, m := range v.members {
-		members = append(members, m)
-	}
-	v.mu.Unlock()
 	v.forgetEndedProbers()
-	for _, m := range members {
+	for _, m := range v.allMembers() {
 		m.closeExpired(now)
-		v.reportGauges(m, now)
 		v.logStatusChange(m, now)
 	}
 }
 
+func (v *service) allMembers() []*member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]*member, 0, len(v.members))
+	for _, m := range v.members {
+		out = append(out, m)
+	}
+	return out
+}
+
 // farBehindLag is the lag from which a member serves hardly any read: the tightest
 // bound on the age of reads of the users is 1.5 s.
 const farBehindLag = 1500 * time.Millisecond
@@ -79,8 +82,26 @@
 	}
 }
 
-// reportGauges reports the metrics of a member.
-func (v *service) reportGauges(m *member, now time.Time) {
+// setGauges sets the gauges of the instance.
+func (s *Server) setGauges(set stats.SetGauge) {
+	isolated := 0.0
+	if s.isolated.Load() {
+		isolated = 1
+	}
+	set("config_version", nil, float64(s.Version()))
+	set("isolated", nil, isolated)
+	set("instances", nil, float64(s.instances.Load()))
+	set("log_lines_dropped", nil, float64(s.log.Dropped()))
+	now := s.now()
+	for _, v := range s.allServices() {
+		for _, m := range v.allMembers() {
+			v.setGauges(m, set, now)
+		}
+	}
+}
+
+// setGauges sets the gauges of a member.
+func (v *service) setGauges(m *member, set stats.SetGauge, now time.Time) {
 	tags := map[string]string{"service": v.name, "member": m.target.ID}
 	inUse, _ := m.connQueue.usage()
 	running, _ := m.statementQueue.usage()
@@ -91,13 +112,12 @@
 	if v.primaryID() == m.target.ID {
 		primary = 1
 	}
-	st := v.srv.stats
-	st.SetGauge("connections_in_use", tags, float64(inUse))
-	st.SetGauge("connections_idle", tags, float64(idle))
-	st.SetGauge("connections_quota", tags, float64(quota))
-	st.SetGauge("statements_running", tags, float64(running))
-	st.SetGauge("statements_pace", tags, float64(concurrency))
-	st.SetGauge("lag_seconds", tags, lag.Seconds())
-	st.SetGauge("failing_seconds", tags, m.failingFor(now).Seconds())
-	st.SetGauge("primary", tags, primary)
+	set("connections_in_use", tags, float64(inUse))
+	set("connections_idle", tags, float64(idle))
+	set("connections_quota", tags, float64(quota))
+	set("statements_running", tags, float64(running))
+	set("statements_pace", tags, float64(concurrency))
+	set("lag_seconds", tags, lag.Seconds())
+	set("failing_seconds", tags, m.failingFor(now).Seconds())
+	set("primary", tags, primary)
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -44,6 +44,7 @@
 	now         func() time.Time
 	log         *event.Log
 	stats       *stats.Registry
+	ownsStats   bool // stats ends with the server
 	seed        uint64
 	maxSessions int
 	// healthChanged is called when a backend server starts or stops to answer probes. It must
@@ -103,8 +104,9 @@
 		opt(s)
 	}
 	if s.stats == nil {
-		s.stats = stats.New(nil)
+		s.stats, s.ownsStats = stats.New(nil), true
 	}
+	s.stats.Gauges(s.setGauges)
 	s.peers = newPeerSet(s)
 	s.instances.Store(1)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -209,15 +211,6 @@
 		v.maintain(now)
 	}
 	s.peers.closeExpiredLinks(now)
-	isolated := 0.0
-	if s.isolated.Load() {
-		isolated = 1
-	}
-	s.stats.SetGauge("config_version", nil, float64(s.Version()))
-	s.stats.SetGauge("isolated", nil, isolated)
-	s.stats.SetGauge("instances", nil, float64(s.instances.Load()))
-	s.stats.SetGauge("log_lines_dropped", nil, float64(s.log.Dropped()))
-	s.stats.UpdateRuntimeGauges()
 }
 
 func (s *Server) allServices() []*service {
@@ -389,4 +382,7 @@
 	}
 	s.peers.close()
 	s.wg.Wait()
+	if s.ownsStats {
+		_ = s.stats.Close() // the registry writes nowhere
+	}
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -191,6 +191,9 @@
 func (t *Table) Since(revision uint64) ([]Entry, uint64, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if revision == t.revision {
+		return nil, t.revision, t.changed
+	}
 	var rows []*row
 	for _, r := range t.rows {
 		if r.revision > revision {
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -26,8 +26,10 @@
 	scope    tally.Scope
 	closer   io.Closer
 	reporter *textReporter
+	tags     map[string]string
 
 	mu       sync.RWMutex
+	gauges   []func(SetGauge)
 	refusals map[errs.Reason]tally.Counter
 	retries  map[errs.Reason]tally.Counter
 
@@ -39,6 +41,9 @@
 	answered     [3]atomic.Int64 // writes, reads by replicas, reads by primaries; for Counts
 }
 
+// prefix begins the name of each metric.
+const prefix = "tamarackcross"
+
 // reportInterval is the time between two reports of tally to the reporter.
 const reportInterval = time.Second
 
@@ -46,7 +51,7 @@
 func New(tags map[string]string) *Registry {
 	reporter := &textReporter{values: make(map[string]float64), histograms: make(map[string]*histogram)}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:          "tamarackcross",
+		Prefix:          prefix,
 		Tags:            tags,
 		Reporter:        reporter,
 		Separator:       "_",
@@ -56,6 +61,7 @@
 		scope:        scope,
 		closer:       closer,
 		reporter:     reporter,
+		tags:         tags,
 		refusals:     make(map[errs.Reason]tally.Counter),
 		retries:      make(map[errs.Reason]tally.Counter),
 		replicaReads: scope.Tagged(map[string]string{"role": "replica"}).Counter("reads"),
@@ -90,17 +96,42 @@
 	r.scope.Histogram(name, latencyBuckets).RecordDuration(d)
 }
 
-// UpdateRuntimeGauges updates the gauges of the Go runtime: memory and goroutines.
-func (r *Registry) UpdateRuntimeGauges() {
-	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/sched/goroutines:goroutines"}}
-	metrics.Read(samples)
-	r.SetGauge("memory_bytes", nil, float64(samples[0].Value.Uint64()))
-	r.SetGauge("goroutines", nil, float64(samples[1].Value.Uint64()))
+// SetGauge sets the gauge with that name and tags.
+type SetGauge func(name string, tags map[string]string, v float64)
+
+// Gauges registers a function that sets gauges. It is called when the metrics are read, so that
+// gauges cost nothing meanwhile. A gauge that it does not set any more is gone.
+func (r *Registry) Gauges(f func(SetGauge)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gauges = append(r.gauges, f)
 }
 
-// SetGauge sets the gauge with that name and tags.
-func (r *Registry) SetGauge(name string, tags map[string]string, v float64) {
-	r.scope.Tagged(tags).Gauge(name).Update(v)
+// gaugeLines returns the lines of the gauges.
+func (r *Registry) gaugeLines() []string {
+	r.mu.RLock()
+	gauges := slices.Clone(r.gauges)
+	r.mu.RUnlock()
+	var out []string
+	set := func(name string, tags map[string]string, v float64) {
+		all := make(map[string]string, len(r.tags)+len(tags))
+		maps.Copy(all, r.tags)
+		maps.Copy(all, tags)
+		out = append(out, fmt.Sprintf("%s %g", seriesName(prefix+"_"+name, all), v))
+	}
+	setRuntimeGauges(set)
+	for _, f := range gauges {
+		f(set)
+	}
+	return out
+}
+
+// setRuntimeGauges sets the gauges of the Go runtime: memory and goroutines.
+func setRuntimeGauges(set SetGauge) {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/sched/goroutines:goroutines"}}
+	metrics.Read(samples)
+	set("memory_bytes", nil, float64(samples[0].Value.Uint64()))
+	set("goroutines", nil, float64(samples[1].Value.Uint64()))
 }
 
 // Counts holds the numbers of requests answered since the start.
@@ -168,7 +199,9 @@
 
 // WriteText writes the metrics in the Prometheus text exposition format, sorted by series.
 func (r *Registry) WriteText(w io.Writer) error {
-	for _, line := range r.reporter.lines() {
+	lines := append(r.reporter.lines(), r.gaugeLines()...)
+	slices.Sort(lines)
+	for _, line := range lines {
 		if _, err := fmt.Fprintln(w, line); err != nil {
 			return err
 		}
@@ -247,7 +280,7 @@
 	return name + "{" + strings.Join(fields, ",") + "}"
 }
 
-// lines returns the lines of all series, sorted.
+// lines returns the lines of all series.
 func (t *textReporter) lines() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -258,7 +291,6 @@
 	for _, h := range t.histograms {
 		out = append(out, h.lines()...)
 	}
-	slices.Sort(out)
 	return out
 }
 
