proxy: proofs of primary come with the answers of holders; the only connection to a server is kept

Cause, by reading: an instance that holds no connections of a service asked a holder for its newest proof every 700 ms, whether a read needed it or not: 295 instances x 19 services are 8,000 calls a second, two and a half times the callers' own rate. It closed its only connection to the server of its zone after a second, since one idle connection is more than half of a share of one, and opened a new one (12 ms of a slot) for the next read.

Change: each answer to a forwarded request carries the holder's newest proof, with the lags of the servers in the zone.

--- a/host/entry.go
+++ b/host/entry.go
@@ -268,6 +268,3 @@
 
 // HandleForwarded serves the requests that another instance forwards through c.
 func (h relayHolder) HandleForwarded(c proxy.Caller) { h.e.server.HandleForwarded(c) }
-
-// Newest returns the newest proof of primary of a service.
-func (h relayHolder) Newest(service string) (proxy.Proof, bool) { return h.e.server.Newest(service) }
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -189,9 +189,10 @@
 		w.logEvent(zerolog.InfoLevel).Str(event.Holder, h.peer.Name).Msg("passed on")
 	}
 	w.svc.recordForwardSent()
+	sent := w.now()
 	a, err := h.exchange(d, limit, abortable)
-	if err == nil {
-		w.svc.recordHolderProof(a.ProofAge)
+	if err == nil && a.Proof != nil {
+		w.svc.recordHolderProof(*a.Proof, sent)
 	}
 	return a, err
 }
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -239,7 +239,7 @@
 	m.mu.Lock()
 	var expired []*backendConn
 	limit := connIdleTimeout
-	if len(m.idle) > m.quota.share/2 {
+	if len(m.idle) > (m.quota.share+1)/2 {
 		limit = excessConnIdleTimeout
 	}
 	if !m.keepIdle {
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -462,4 +462,7 @@
 		return
 	}
 	v.breakers.Failed(m.target.ID, v.srv.now())
+	if v.controlProbes && v.primary == m.target.ID {
+		v.primary = "" // no probe of this instance would notice that it is lost
+	}
 }
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -23,8 +23,6 @@
 	// Ping returns nil if the instance answers. It uses a connection apart from the
 	// links, so that a busy link does not delay it.
 	Ping(ctx context.Context, addr string) error
-	// Newest returns the newest proof of primary that the instance has of a service.
-	Newest(ctx context.Context, addr, service string) (Proof, error)
 }
 
 // WithName sets the name of the instance as its peers know it.
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -303,26 +303,55 @@
 	v.lastForwardSent = now
 }
 
-// recordHolderProof records the age of the newest proof of primary that a holder
-// reported with its answer. A negative age means that the holder has none.
-func (v *service) recordHolderProof(proofAge time.Duration) {
-	at := v.srv.now().Add(-proofAge)
+// recordHolderProof records the proof of primary that a holder reported with its answer to a
+// request sent at askedAt. It covers reads that this instance runs itself.
+func (v *service) recordHolderProof(p Proof, askedAt time.Time) {
+	at := askedAt.Add(-p.Age) // the holder computed the age later
 	v.mu.Lock()
-	defer v.mu.Unlock()
-	if proofAge >= 0 && at.After(v.lastHolderProof) {
+	newer := at.After(v.lastHolderProof)
+	if newer {
 		v.lastHolderProof = at
 	}
+	v.mu.Unlock()
+	if newer {
+		v.recordProofOf(p, at)
+	}
+}
+
+// recordProofOf records a proof that another instance obtained, which covers all commits
+// acknowledged before at. It reports whether the member is known.
+func (v *service) recordProofOf(p Proof, at time.Time) bool {
+	m := v.member(p.Member)
+	if m == nil {
+		return false
+	}
+	now := v.srv.now()
+	for id, lag := range p.Lags {
+		if replica := v.member(id); replica != nil {
+			replica.setLag(lag, now)
+		}
+	}
+	v.recordProof(m, at, p.Position)
+	return true
 }
 
-// proofAge returns the time since a primary proved its role to this instance, or -1
-// if none did.
-func (v *service) proofAge(now time.Time) time.Duration {
+// newestProof returns the newest proof of primary, with the lags of the members in the zone of
+// this instance, or nil if there is none.
+func (v *service) newestProof(now time.Time) *Proof {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if n := len(v.timedSamples); n > 0 {
-		return max(0, now.Sub(v.timedSamples[n-1].at))
+	n := len(v.timedSamples)
+	if n == 0 || v.primary == "" {
+		return nil
+	}
+	last := v.timedSamples[n-1]
+	p := &Proof{Member: v.primary, Position: last.position, Age: max(0, now.Sub(last.at)), Lags: make(map[string]time.Duration)}
+	for id, m := range v.members {
+		if m.snapshot().Zone == v.srv.zone {
+			p.Lags[id] = m.estimatedLag()
+		}
 	}
-	return -1
+	return p
 }
 
 // primaryMember returns the member that last proved to be the primary, or nil.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -73,7 +73,7 @@
 		}
 		answer := s.handle(ctx, req)
 		if req.Forwarded != nil {
-			answer.ProofAge = s.srv.service(req.Forwarded.Route.Service).proofAge(s.srv.now())
+			answer.Proof = s.srv.service(req.Forwarded.Route.Service).newestProof(s.srv.now())
 		}
 		if err := s.caller.Reply(answer); err != nil {
 			return
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"time"
-
 	"tamarackcross/group"
 )
 
@@ -78,9 +76,9 @@
 	Fault     *Fault
 	Status    Status
 	Position  group.Position // of the log of the backend server, zero if unknown
-	// ProofAge is set by a holder in its answer to another instance: the time since
-	// a primary last proved its role to the holder, or negative if none did.
-	ProofAge time.Duration
+	// Proof is set by a holder in its answer to another instance: its newest proof of
+	// primary, or nil if it has none.
+	Proof *Proof
 }
 
 // Code says why a request failed.
--- a/relay/holder.go
+++ b/relay/holder.go
@@ -12,15 +12,11 @@
 	"tamarackcross/proxy"
 )
 
-// Holder serves requests that other instances forward, and their questions for proofs
-// of primary.
+// Holder serves requests that other instances forward.
 type Holder interface {
 	// HandleForwarded serves the requests of one link, a unit of work at a time, until
 	// the link ends.
 	HandleForwarded(proxy.Caller)
-	// Newest returns the newest proof of primary of a service, and false if there is
-	// none.
-	Newest(service string) (proxy.Proof, bool)
 }
 
 // Register registers the drpc methods of a holder with mux.
@@ -33,7 +29,7 @@
 type description struct{}
 
 // NumMethods returns the number of methods.
-func (description) NumMethods() int { return 3 }
+func (description) NumMethods() int { return 2 }
 
 // Method describes the method with number n.
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -42,8 +38,6 @@
 		return callServe, encoding{}, streamReceiver, server.serveStream, true
 	case 1:
 		return callPing, encoding{}, unaryReceiver(server.ping), server.ping, true
-	case 2:
-		return callNewest, encoding{}, unaryReceiver(server.newest), server.newest, true
 	default:
 		return "", nil, nil, nil, false
 	}
@@ -57,13 +51,6 @@
 
 func (server) ping(context.Context, *ping) (*ping, error) { return &ping{}, nil }
 
-func (s server) newest(_ context.Context, in *proofRequest) (*proofReply, error) {
-	p, ok := s.holder.Newest(in.Service)
-	return &proofReply{
-		Known: ok, Member: p.Member, Term: p.Position.Term, Offset: p.Position.Offset, Age: p.Age, Lags: p.Lags,
-	}, nil
-}
-
 var errMessageType = eris.New("relay: drpc passed a message of the wrong type")
 
 func streamReceiver(srv any, _ context.Context, in1, _ any) (drpc.Message, error) {
--- a/relay/link.go
+++ b/relay/link.go
@@ -10,7 +10,6 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
-	"tamarackcross/group"
 	"tamarackcross/mesh"
 	"tamarackcross/proxy"
 )
@@ -50,23 +49,6 @@
 	return l.call(ctx, addr, callPing, &ping{}, &ping{})
 }
 
-// Newest returns the newest proof of primary that the instance at addr has of a
-// service.
-func (l *Links) Newest(ctx context.Context, addr, service string) (proxy.Proof, error) {
-	out := new(proofReply)
-	if err := l.call(ctx, addr, callNewest, &proofRequest{Service: service}, out); err != nil {
-		return proxy.Proof{}, err
-	}
-	if !out.Known {
-		return proxy.Proof{}, errNoProof
-	}
-	return proxy.Proof{
-		Member: out.Member, Position: group.Position{Term: out.Term, Offset: out.Offset}, Age: out.Age, Lags: out.Lags,
-	}, nil
-}
-
-var errNoProof = eris.New("relay: the instance has no proof of primary of the service")
-
 // call makes one drpc call. After a success its connection is kept for the next call to
 // the same address, unless another call has put one back already.
 func (l *Links) call(ctx context.Context, addr, name string, in, out any) error {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,9 +18,8 @@
 
 // Names of the drpc methods.
 const (
-	callServe  = "/relay.Holder/Serve"
-	callPing   = "/relay.Holder/Ping"
-	callNewest = "/relay.Holder/Newest"
+	callServe = "/relay.Holder/Serve"
+	callPing  = "/relay.Holder/Ping"
 )
 
 // encoding is CBOR. It suits many small messages, and rows may hold any bytes.
@@ -103,7 +102,7 @@
 	Status    proxy.Status
 	Term      uint64
 	Offset    uint64
-	ProofAge  time.Duration
+	Proof     proof
 }
 
 // ping is both the request and the reply of a health probe.
@@ -111,17 +110,9 @@
 	_ struct{} `cbor:",toarray"`
 }
 
-// proofRequest asks for the newest proof of primary of a service.
-type proofRequest struct {
-	_       struct{} `cbor:",toarray"`
-	Service string
-}
-
-// proofReply is the answer to a proofRequest. Known is false if the instance has no
-// proof.
-type proofReply struct {
+// proof is the newest proof of primary of a holder. Member is empty if it has none.
+type proof struct {
 	_      struct{} `cbor:",toarray"`
-	Known  bool
 	Member string
 	Term   uint64
 	Offset uint64
@@ -216,7 +207,10 @@
 }
 
 func encodeAnswer(a proxy.Answer) *reply {
-	r := &reply{Rows: a.Rows, Signature: a.Signature, Status: a.Status, Term: a.Position.Term, Offset: a.Position.Offset, ProofAge: a.ProofAge}
+	r := &reply{Rows: a.Rows, Signature: a.Signature, Status: a.Status, Term: a.Position.Term, Offset: a.Position.Offset}
+	if p := a.Proof; p != nil {
+		r.Proof = proof{Member: p.Member, Term: p.Position.Term, Offset: p.Position.Offset, Age: p.Age, Lags: p.Lags}
+	}
 	if a.Fault != nil {
 		r.Code, r.Text = a.Fault.Code, a.Fault.Text
 	}
@@ -226,7 +220,9 @@
 func (r *reply) answer() proxy.Answer {
 	a := proxy.Answer{
 		Rows: r.Rows, Signature: r.Signature, Status: r.Status, Position: group.Position{Term: r.Term, Offset: r.Offset},
-		ProofAge: r.ProofAge,
+	}
+	if p := r.Proof; p.Member != "" {
+		a.Proof = &proxy.Proof{Member: p.Member, Position: group.Position{Term: p.Term, Offset: p.Offset}, Age: p.Age, Lags: p.Lags}
 	}
 	if r.Code != 0 {
 		a.Fault = &proxy.Fault{Code: r.Code, Text: r.Text}
