host: an entry exchanges state with its home and one other control instance

Cause, by reading: every entry held a Sync call open to every control instance, renewed each 0.4 s, whether anything was new or not.

Change: an entry reports to its home, the control instance of its zone if that answers and knows a leader, and one more that holds calls for 2 s stands by. Further ones are called while these do not answer. All entries of a zone come to the same result. Home instances gather the reports and pass them on to the others, and to the leader at once when members fail. Whether control can be reached, which only matters once primaries are missing, is found out when they are. An entry that needs leases calls the leader too. A configuration that neither sends is asked of the other control instances.

Ruled out: ending a held call to make another one when the home changes. On a link on which answers wait for 2 s the answer with the configuration was lost each time (TestSmallChangeWhileAnswersQueue).

--- a/host/config_link_test.go
+++ b/host/config_link_test.go
@@ -17,6 +17,7 @@
 
 	"tamarackcross/clock"
 	"tamarackcross/config"
+	"tamarackcross/duty"
 	"tamarackcross/emul"
 	"tamarackcross/event"
 	"tamarackcross/mesh"
@@ -110,16 +111,18 @@
 	t     testing.TB
 	peers []string
 	all   []*Controller
+
+	closed map[int]bool
 }
 
 func startControlGroup(t testing.TB, n int) *controlGroup {
-	g := &controlGroup{t: t}
+	g := &controlGroup{t: t, closed: make(map[int]bool)}
 	for range n {
 		g.peers = append(g.peers, unusedAddr(t))
 	}
 	for i, peer := range g.peers {
 		c, err := StartControl(Settings{
-			Name: "core-" + strconv.Itoa(i), Zone: "a", ControlAddr: unusedAddr(t), PeerAddr: peer, Seeds: g.peers, Bootstrap: true, DataDir: t.TempDir(),
+			Name: "core-" + strconv.Itoa(i), Zone: "a", ControlAddr: unusedAddr(t), PeerAddr: peer, Seeds: g.peers, Bootstrap: true, DataDir: t.TempDir(), Succession: duty.Immediate,
 		}, ControlDeps{
 			Handler: func(Control) http.Handler { return http.NotFoundHandler() }, Decode: decodeTestDocument,
 			Now: clock.Now, Log: event.Nop(), Stats: stats.New(nil), Seed: uint64(i),
@@ -128,15 +131,22 @@
 			t.Fatal(err)
 		}
 		g.all = append(g.all, c)
-		t.Cleanup(func() {
-			if err := c.Close(); err != nil {
-				t.Error(err)
-			}
-		})
+		t.Cleanup(func() { g.close(i) })
 	}
 	return g
 }
 
+// close stops a control instance, once.
+func (g *controlGroup) close(i int) {
+	if g.closed[i] {
+		return
+	}
+	g.closed[i] = true
+	if err := g.all[i].Close(); err != nil {
+		g.t.Error(err)
+	}
+}
+
 // put stores a document through the first control instance and returns its size in bytes.
 func (g *controlGroup) put(doc testDocument) int {
 	g.t.Helper()
@@ -156,7 +166,7 @@
 func (g *controlGroup) startEntry(dial mesh.DialFunc) *Entry {
 	g.t.Helper()
 	e, err := StartEntry(Settings{
-		Name: "front-1", Zone: "a", CallerAddr: unusedAddr(g.t), ReadyAddr: unusedAddr(g.t), PeerAddr: unusedAddr(g.t), Seeds: g.peers, GracePeriod: time.Second,
+		Name: "front-1", Zone: "a", CallerAddr: unusedAddr(g.t), ReadyAddr: unusedAddr(g.t), PeerAddr: unusedAddr(g.t), Seeds: g.peers, GracePeriod: time.Second, Succession: duty.Immediate,
 	}, EntryDeps{
 		Open: func(net.Conn) proxy.Caller { return nil }, Ready: func(func() bool) http.Handler { return http.NotFoundHandler() }, Decode: decodeTestDocument,
 		Dial: dial, Now: clock.Now, Log: event.Nop(), Stats: stats.New(nil), Seed: 1,
--- a/host/control.go
+++ b/host/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +57,9 @@
 	prober           *proxy.Server // probes members for the entries; nil while no entry asks for proofs
 	lastProofRequest time.Time     // time of the last Prove call of an entry
 	doc              *config.Document
+	gathered         *mesh.Gathered // from the entries whose home this instance is
+	leaderAddress    string         // of the leader that this instance knows, or empty
+	leaderChanged    chan struct{}  // closed when that changes
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -68,7 +72,7 @@
 func StartControl(s Settings, p ControlDeps) (*Controller, error) {
 	c := &Controller{
 		settings: s, deps: p, incarnation: rand.Uint64() | 1, ledger: ledger.New(), roster: roster.New(),
-		reports: newReportTable(), ended: make(chan error, 3), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
+		reports: newReportTable(), leaderChanged: make(chan struct{}), ended: make(chan error, 3), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	peerListener, err := mesh.Listen(c.ctx, s.PeerAddr)
@@ -87,12 +91,8 @@
 		return nil, errors.Join(err, peerListener.Close(), apiListener.Close(), c.node.Close())
 	}
 	p.Stats.Gauges(c.setGauges)
-	c.clients = newControlClients(s.PeerAddr, mesh.Dial, p.Now, p.Log, p.Stats)
-	// The highest ConfigVersion requests no announcement: the configuration arrives with the log.
-	c.clients.newRequest = func() mesh.SyncRequest {
-		unresponsive, probed := c.probeResults()
-		return mesh.SyncRequest{Name: s.Name, Zone: s.Zone, ConfigVersion: ^uint64(0), ProbedServices: probed, UnresponsiveMembers: unresponsive}
-	}
+	c.clients = newControlClients(s.PeerAddr, s.Zone, mesh.Dial, p.Now, p.Log, p.Stats)
+	c.clients.newRequest = c.syncRequest
 	c.clients.onReply = c.applyRoster
 	if s.Succession == duty.Overlapping {
 		c.leases, c.giver = newLeaseHolder(p.Now, p.Log, p.Stats), newLeaseGiver(c.ledger, p.Now, p.Log)
@@ -111,6 +111,17 @@
 	return c, nil
 }
 
+// syncRequest returns the state that this instance sends to the other control instances.
+func (c *Controller) syncRequest() mesh.SyncRequest {
+	_, probed := c.probeResults()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return mesh.SyncRequest{
+		Name: c.settings.Name, Zone: c.settings.Zone, ProbedServices: probed, Gathered: c.gathered,
+		ConfigVersion: ^uint64(0), // requests no announcement: the configuration arrives with the log
+	}
+}
+
 // recordSent counts a reply to another instance.
 func (c *Controller) recordSent(size int, took time.Duration) {
 	c.deps.Stats.Scope().Counter("mesh_sent_bytes").Inc(int64(size))
@@ -222,12 +233,14 @@
 // Sync replies with the version of the configuration and the roster entries that are newer
 // than those of the request. While there are none it waits, at most in.Wait.
 func (c *Controller) Sync(ctx context.Context, in *mesh.SyncRequest) (*mesh.SyncReply, error) {
-	c.recordReport(in)
+	if in.Name != "" {
+		c.recordReport(in)
+	}
 	if in.ReportOnly {
 		return &mesh.SyncReply{}, nil
 	}
 	leases := c.leaseCall(in)
-	timer := time.NewTimer(min(in.Wait, longPollWait))
+	timer := time.NewTimer(min(in.Wait, standbyWait))
 	defer timer.Stop()
 	for {
 		stored, configChanged := c.ledger.Config()
@@ -237,8 +250,10 @@
 		}
 		entries, revision, rosterChanged := c.roster.Since(revisionSeen)
 		reports := c.reports.summarize(c.deps.Now())
+		leader, leaderChanged := c.knownLeader()
 		reply := &mesh.SyncReply{
-			ConfigVersion: stored.Version, Incarnation: c.incarnation, RosterRevision: revision, RosterEntries: entries, ControlAddrs: c.controlAddrs(), EntryCount: reports.entries, Zone: c.settings.Zone, Leads: c.isLeader(),
+			ConfigVersion: stored.Version, Incarnation: c.incarnation, RosterRevision: revision, RosterEntries: entries,
+			Controls: c.controlAddrs(), EntryCount: reports.entries, Zone: c.settings.Zone, Led: leader != "", Leader: leader,
 		}
 		if in.Serves {
 			peers := reports.peers[in.Zone]
@@ -255,6 +270,11 @@
 		case <-configChanged:
 		case <-rosterChanged:
 		case <-leasesChanged:
+		case <-leaderChanged:
+			reply.Leader, _ = c.knownLeader()
+			reply.Led = reply.Leader != ""
+			reply.Lease = leases.grant()
+			return reply, nil
 		case <-timer.C:
 			reply.Lease = leases.grant()
 			return reply, nil
@@ -267,8 +287,8 @@
 // recordReport stores the state that a Sync request carries.
 func (c *Controller) recordReport(in *mesh.SyncRequest) {
 	c.reports.put(in.Name, instanceReport{
-		zone: in.Zone, serves: in.Serves, addr: in.Addr, leaving: in.Leaving, probed: in.ProbedServices,
-		at: c.deps.Now(), unresponsive: in.UnresponsiveMembers,
+		zone: in.Zone, serves: in.Serves, home: in.Home, gathered: in.Gathered, wait: in.Wait, addr: in.Addr, leaving: in.Leaving,
+		probed: in.ProbedServices, at: c.deps.Now(), unresponsive: in.UnresponsiveMembers,
 	})
 }
 
@@ -335,20 +355,57 @@
 	return p
 }
 
-// allReports returns the live reports, and that of this instance if it probes members.
-func (c *Controller) allReports() map[string]instanceReport {
-	out := c.reports.live(c.deps.Now())
+// gatherHealth summarizes the reports of the entries whose home this instance is, and its own
+// probes. It reports to the leader at once if other members are failing than before.
+func (c *Controller) gatherHealth(now time.Time) healthSummary {
+	reports := c.reports.live(now)
 	if unresponsive, probed := c.probeResults(); len(probed) > 0 {
-		out[c.settings.Name] = instanceReport{zone: c.settings.Zone, probed: probed, unresponsive: unresponsive}
+		reports[c.settings.Name] = instanceReport{home: true, at: now, probed: probed, unresponsive: unresponsive}
+	}
+	health := summarizeHealth(reports, now)
+	next := health.gather(c.reports.summarize(now).homed)
+	c.mu.Lock()
+	urgent := c.gathered != nil && !slices.Equal(c.gathered.Failing, next.Failing)
+	c.gathered = next
+	c.mu.Unlock()
+	if urgent {
+		c.clients.reportNow()
+	}
+	health.addGathered(reports)
+	return health
+}
+
+// followLeader records the leader that this instance knows, and wakes the calls that are held if
+// it has changed.
+func (c *Controller) followLeader() {
+	addr := c.leaderAddr()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr != c.leaderAddress {
+		c.leaderAddress = addr
+		close(c.leaderChanged)
+		c.leaderChanged = make(chan struct{})
 	}
-	return out
 }
 
-func (c *Controller) controlAddrs() []string {
+// knownLeader returns the address of the leader, or "", and a channel that is closed when it
+// changes.
+func (c *Controller) knownLeader() (string, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaderAddress, c.leaderChanged
+}
+
+// controlAddrs returns the control members, with their zones as far as they are known.
+func (c *Controller) controlAddrs() []mesh.ControlAddr {
 	members := c.node.Status().Members
-	out := make([]string, 0, len(members))
+	out := make([]mesh.ControlAddr, 0, len(members))
 	for _, m := range members {
-		out = append(out, m.Address)
+		zone := c.clients.zoneOf(m.Address)
+		if m.Address == c.settings.PeerAddr {
+			zone = c.settings.Zone
+		}
+		out = append(out, mesh.ControlAddr{Addr: m.Address, Zone: zone})
 	}
 	return out
 }
--- a/host/duty.go
+++ b/host/duty.go
@@ -88,11 +88,12 @@
 				s.runActions(ctx, e.service, sup.Step(e.event, c.deps.Now()))
 			}
 		case <-t.C:
+			c.followLeader()
 			if c.giver != nil {
 				c.giver.follow(c.node.Status())
 				c.renewOwnLeases()
 			}
-			s.updateViews(ctx)
+			s.updateViews(ctx, c.gatherHealth(c.deps.Now()))
 		}
 	}
 }
@@ -106,7 +107,7 @@
 // updateViews gives each supervisor the current state of its service. An instance that is not
 // the leader, or has lost its majority, discards all supervisors. There are none if the platform
 // does not take promotion orders.
-func (s *supervision) updateViews(ctx context.Context) {
+func (s *supervision) updateViews(ctx context.Context, health healthSummary) {
 	doc, term := s.c.document(), s.c.node.Status().Term
 	if doc == nil || s.c.deps.Promoter == nil || !s.c.isCurrentLeader() {
 		s.services = nil
@@ -116,7 +117,6 @@
 	if s.services == nil || s.term != term {
 		s.services, s.term = make(map[string]*duty.Supervisor), term
 	}
-	health := summarizeHealth(s.c.allReports(), now)
 	for name, cfg := range doc.Services {
 		sup := s.services[name]
 		if sup == nil {
--- a/host/entry.go
+++ b/host/entry.go
@@ -66,7 +66,7 @@
 	}
 	e := &Entry{settings: s, deps: p, roster: roster.New(), ended: make(chan error, 3)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.control = newControlClients("", p.Dial, p.Now, p.Log, p.Stats)
+	e.control = newControlClients("", s.Zone, p.Dial, p.Now, p.Log, p.Stats)
 	opts := []proxy.Option{
 		proxy.WithHealthChanged(e.control.reportNow), proxy.WithName(s.Name), proxy.WithZone(s.Zone), proxy.WithZoneCount(s.ZoneCount), proxy.WithClock(p.Now), proxy.WithLog(p.Log), proxy.WithStats(p.Stats), proxy.WithSeed(p.Seed),
 	}
@@ -91,7 +91,7 @@
 	}
 	e.instanceCount.update(assumedInstances, p.Now())
 	e.callerListener = callerListener
-	e.proofs = &proofClient{control: e.control, dial: p.Dial, zone: s.Zone, clients: make(map[string]*mesh.Client)}
+	e.proofs = &proofClient{control: e.control, dial: p.Dial, clients: make(map[string]*mesh.Client)}
 	e.peerClient = relay.NewLinks(p.Dial)
 	if s.Succession == duty.Overlapping {
 		e.leases = newLeaseHolder(p.Now, p.Log, p.Stats)
@@ -100,7 +100,7 @@
 	e.server = proxy.New(p.Dialer, e.roster, append(opts, proxy.WithProver(e.proofs), proxy.WithPeerClient(e.peerClient))...)
 	e.control.leases, e.control.relied, e.control.onLeases = e.leases, e.server.DirectServices, e.server.RetryProofs
 	e.config = newConfigFetcher(e)
-	e.control.newRequest, e.control.onReply = e.syncRequest, e.applySync
+	e.control.newRequest, e.control.onReply, e.control.suspicious = e.syncRequest, e.applySync, e.missesPrimaries
 	e.control.start(e.ctx, s.Seeds)
 	e.readyServer = &http.Server{Handler: p.Ready(e.Ready), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	go func() { e.ended <- e.server.Serve(e.ctx, callerListener, p.Open) }()
@@ -140,6 +140,17 @@
 // in a row, each of which takes up to 400 ms.
 const isolationTimeout = 900 * time.Millisecond
 
+// suspicionTimeout is how old the last proofs of primary may be before the instance finds out
+// whether it reaches control. The answers are there once isolationTimeout has passed.
+const suspicionTimeout = 500 * time.Millisecond
+
+// missesPrimaries reports whether so many primaries are missing that the instance may be behind a
+// network partition.
+func (e *Entry) missesPrimaries() bool {
+	known, proved := e.server.CountProofs(suspicionTimeout)
+	return countsAsIsolated(false, known, proved)
+}
+
 // isolated reports whether a network partition separates the instance from the control
 // instances and the primaries.
 func (e *Entry) isolated() bool {
--- a/host/entry_test.go
+++ b/host/entry_test.go
@@ -57,7 +57,7 @@
 func TestConfigSource(t *testing.T) {
 	now := time.Unix(100, 0)
 	ago := func(d time.Duration) time.Time { return now.Add(-d) }
-	c := newControlClients("", nil, func() time.Time { return now }, event.Nop(), stats.New(nil))
+	c := newControlClients("", "a", nil, func() time.Time { return now }, event.Nop(), stats.New(nil))
 	for _, cc := range []*controlClient{
 		{addr: "frozen", configVersion: 9, lastAnswer: ago(2 * time.Second), zone: "a"},
 		{addr: "far", configVersion: 8, lastAnswer: ago(100 * time.Millisecond), zone: "b"},
--- a/host/proofs.go
+++ b/host/proofs.go
@@ -8,12 +8,11 @@
 	"tamarackcross/proxy"
 )
 
-// proofClient is the proxy.Prover of an entry. It requests proofs of primary from a control
-// instance, in the own zone if one answers there.
+// proofClient is the proxy.Prover of an entry. It requests proofs of primary from the home of the
+// entry, or from another control instance if that does not answer.
 type proofClient struct {
 	control *controlClients
 	dial    mesh.DialFunc
-	zone    string
 
 	mu      sync.Mutex
 	clients map[string]*mesh.Client // by service, so that the call for one service does not wait for that of another
@@ -21,7 +20,7 @@
 
 // Prove requests a proof of primary of a service.
 func (p *proofClient) Prove(ctx context.Context, service string) (proxy.Proof, error) {
-	addr := p.control.nearest(p.zone)
+	addr := p.control.nearest()
 	if addr == "" {
 		return proxy.Proof{}, ErrNoLeader
 	}
--- a/host/reports.go
+++ b/host/reports.go
@@ -1,12 +1,15 @@
 package host
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/twmb/murmur3"
+
 	"tamarackcross/duty"
 	"tamarackcross/mesh"
 )
@@ -17,8 +20,11 @@
 // instanceReport is the state that an instance sent with its last Sync call.
 type instanceReport struct {
 	zone         string
-	serves       bool   // it is an entry
-	addr         string // where it serves forwarded requests
+	serves       bool           // it is an entry
+	home         bool           // this instance counts it
+	gathered     *mesh.Gathered // of a control instance
+	wait         time.Duration  // how long its call may be held
+	addr         string         // where it serves forwarded requests
 	leaving      bool
 	probed       []string // services whose members the instance probes
 	at           time.Time
@@ -27,7 +33,7 @@
 
 // sameInstance reports whether two reports of an instance mean the same to the others.
 func (r instanceReport) sameInstance(o instanceReport) bool {
-	return r.zone == o.zone && r.serves == o.serves && r.addr == o.addr && r.leaving == o.leaving
+	return r.zone == o.zone && r.serves == o.serves && r.home == o.home && r.addr == o.addr && r.leaving == o.leaving
 }
 
 // reportTable holds the newest report of each instance.
@@ -40,7 +46,8 @@
 
 // reportSummary is what all instances learn from the reports. It is not changed once it is made.
 type reportSummary struct {
-	entries int                  // number of live entries
+	homed   []uint32             // hashes of the names of the live entries whose home this instance is
+	entries int                  // number of all live entries
 	peers   map[string]zonePeers // by zone
 }
 
@@ -76,7 +83,9 @@
 
 // expire deletes the reports that are older than reportTimeout. The caller holds t.mu.
 func (t *reportTable) expire(now time.Time) {
-	maps.DeleteFunc(t.reports, func(_ string, r instanceReport) bool { return now.Sub(r.at) > reportTimeout })
+	maps.DeleteFunc(t.reports, func(_ string, r instanceReport) bool {
+		return now.Sub(r.at) > reportTimeout+max(0, r.wait-longPollWait)
+	})
 }
 
 // summarize returns the summary of the live reports. It is at most summaryInterval old.
@@ -88,11 +97,21 @@
 	}
 	t.expire(now)
 	s := reportSummary{peers: make(map[string]zonePeers)}
+	all := make(map[uint32]struct{}) // hashes of the names of all live entries
 	for name, r := range t.reports {
+		if r.gathered != nil {
+			for _, hash := range r.gathered.Entries {
+				all[hash] = struct{}{}
+			}
+		}
 		if !r.serves {
 			continue
 		}
-		s.entries++
+		if r.home {
+			hash := murmur3.StringSum32(name)
+			s.homed = append(s.homed, hash)
+			all[hash] = struct{}{}
+		}
 		if !r.leaving && r.addr != "" {
 			p := s.peers[r.zone]
 			p.list = append(p.list, mesh.Peer{Name: name, Addr: r.addr})
@@ -104,6 +123,8 @@
 		p.digest = mesh.Digest(p.list)
 		s.peers[zone] = p
 	}
+	slices.Sort(s.homed)
+	s.entries = len(all)
 	t.summary, t.summaryAt = s, now
 	return s
 }
@@ -121,10 +142,14 @@
 	failing map[memberKey]int // number of instances that have had no answer for duty.FailureThreshold
 }
 
-// summarizeHealth counts the instances that probe and that miss each backend server.
+// summarizeHealth counts the instances that probe and that miss each backend server, of those
+// that this instance counts.
 func summarizeHealth(reports map[string]instanceReport, now time.Time) healthSummary {
 	out := healthSummary{probing: make(map[string]int), failing: make(map[memberKey]int)}
 	for _, r := range reports {
+		if !r.home {
+			continue
+		}
 		for _, service := range r.probed {
 			out.probing[service]++
 		}
@@ -136,3 +161,30 @@
 	}
 	return out
 }
+
+// gather returns the summary as it is sent to other control instances.
+func (h healthSummary) gather(entries []uint32) *mesh.Gathered {
+	out := &mesh.Gathered{Entries: entries, Probing: maps.Clone(h.probing)}
+	for k, n := range h.failing {
+		out.Failing = append(out.Failing, mesh.FailingMember{Service: k.service, ID: k.id, Instances: n})
+	}
+	slices.SortFunc(out.Failing, func(a, b mesh.FailingMember) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+// addGathered adds what the other control instances have gathered.
+func (h healthSummary) addGathered(reports map[string]instanceReport) {
+	for _, r := range reports {
+		if r.gathered == nil {
+			continue
+		}
+		for service, n := range r.gathered.Probing {
+			h.probing[service] += n
+		}
+		for _, m := range r.gathered.Failing {
+			h.failing[memberKey{m.Service, m.ID}] += m.Instances
+		}
+	}
+}
--- a/host/urgent.go
+++ b/host/urgent.go
@@ -14,8 +14,8 @@
 	urgentReportTimeout = 600 * time.Millisecond
 )
 
-// reportNow sends the state of this instance to the leader of control without waiting for the
-// end of the Sync call that is held. It never blocks.
+// reportNow sends the state of this instance without waiting for the end of the Sync call that is
+// held: that of an entry to its home, that of a control instance to the leader. It never blocks.
 func (c *controlClients) reportNow() {
 	select {
 	case c.urgent <- struct{}{}:
@@ -37,7 +37,7 @@
 			return ctx.Err()
 		case <-c.urgent:
 		}
-		if addr := c.leader(); addr != "" {
+		if addr := c.reportAddr(); addr != "" {
 			if client == nil || client.Addr() != addr {
 				if client != nil {
 					client.Close()
@@ -53,26 +53,23 @@
 	}
 }
 
+// reportAddr returns the address to which urgent reports go, or "" if it is not known.
+func (c *controlClients) reportAddr() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.selfAddr != "" {
+		return c.leader
+	}
+	return c.home
+}
+
 // report sends the state of this instance. What the reply carries arrives with the Sync calls.
 func (c *controlClients) report(parent context.Context, client *mesh.Client) {
 	ctx, stop := context.WithTimeout(parent, urgentReportTimeout)
 	defer stop()
 	in := c.newRequest()
-	in.ReportOnly = true
+	in.ReportOnly, in.Home = true, c.selfAddr == ""
 	if _, err := client.Sync(ctx, &in); err != nil && parent.Err() == nil {
 		c.log.Debug().Err(err).Str("control", client.Addr()).Msg("report of an unresponsive backend server failed; the next Sync call carries it")
 	}
 }
-
-// leader returns the address of the control instance that said last that it leads, or "".
-func (c *controlClients) leader() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	addr, at := "", time.Time{}
-	for a, cc := range c.byAddr {
-		if cc.leads && cc.lastAnswer.After(at) {
-			addr, at = a, cc.lastAnswer
-		}
-	}
-	return addr
-}
--- a/host/urgent_test.go
+++ b/host/urgent_test.go
@@ -29,7 +29,7 @@
 		h.reports <- in
 		return &mesh.SyncReply{}, nil
 	case in.Incarnation == 0:
-		return &mesh.SyncReply{Incarnation: 1, Leads: true}, nil
+		return &mesh.SyncReply{Incarnation: 1, Led: true}, nil
 	}
 	h.held <- struct{}{}
 	<-ctx.Done()
@@ -52,7 +52,7 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- ctrl.Serve(ctx, l, mux) }()
-	c := newControlClients("", mesh.Dial, time.Now, event.Nop(), stats.New(nil))
+	c := newControlClients("", "a", mesh.Dial, time.Now, event.Nop(), stats.New(nil))
 	c.newRequest = func() mesh.SyncRequest {
 		return mesh.SyncRequest{Name: "front-1", UnresponsiveMembers: []mesh.UnresponsiveMember{{Service: "svc", ID: "m1", For: time.Second}}}
 	}
@@ -82,10 +82,11 @@
 		return []mesh.UnresponsiveMember{{Service: "svc", ID: "m1", For: d}}
 	}
 	reports := map[string]instanceReport{
-		"long enough with the time since": {at: ago(210 * time.Millisecond), unresponsive: unresponsive(300 * time.Millisecond)},
-		"not long enough":                 {at: ago(100 * time.Millisecond), unresponsive: unresponsive(300 * time.Millisecond)},
-		"a report too old to go on":       {at: ago(1900 * time.Millisecond), unresponsive: unresponsive(-100 * time.Millisecond)},
+		"long enough with the time since": {home: true, at: ago(210 * time.Millisecond), unresponsive: unresponsive(300 * time.Millisecond)},
+		"not long enough":                 {home: true, at: ago(100 * time.Millisecond), unresponsive: unresponsive(300 * time.Millisecond)},
+		"a report too old to go on":       {home: true, at: ago(1900 * time.Millisecond), unresponsive: unresponsive(-100 * time.Millisecond)},
 	}
+	reports["an instance with another home"] = instanceReport{at: now, unresponsive: unresponsive(time.Second)}
 	if got := summarizeHealth(reports, now).failing[memberKey{"svc", "m1"}]; got != 1 {
 		t.Errorf("the member counts as failing at %d instances, want 1", got)
 	}
--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -73,13 +73,13 @@
 	return r
 }
 
-// attemptInterval is the time after which another attempt to call starts.
+// attemptInterval is the time after which another attempt starts of a call that is not held.
 const attemptInterval = 1500 * time.Millisecond
 
-// invokeOverlapping starts an attempt to call every attemptInterval unless one is connecting, the
-// first one on the connection kept. It returns the first success, or the error of the last attempt
-// under way.
-func invokeOverlapping[Out any](ctx context.Context, kept *drpcconn.Conn, open openFunc, invoke invokeFunc[Out]) invokeResult[Out] {
+// invokeOverlapping starts an attempt to call every interval unless one is connecting, the first
+// one on the connection kept. It returns the first success, or the error of the last attempt under
+// way.
+func invokeOverlapping[Out any](ctx context.Context, kept *drpcconn.Conn, open openFunc, invoke invokeFunc[Out], interval time.Duration) invokeResult[Out] {
 	ctx, stop := context.WithCancel(ctx)
 	var connecting atomic.Int32
 	countedOpen := func(ctx context.Context) (*drpcconn.Conn, error) {
@@ -92,7 +92,7 @@
 		pending++
 		go func() { results <- invokeOnce(ctx, kept, countedOpen, invoke) }()
 	}
-	next := time.NewTicker(attemptInterval)
+	next := time.NewTicker(interval)
 	defer next.Stop()
 	attempt(kept)
 	for {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -57,6 +57,29 @@
 	UnresponsiveMembers []UnresponsiveMember `json:"Troubles"`
 	Lease               *LeaseRequest        `json:",omitempty"` // asks for leases; nil if the sender relies on no primary
 	ReportOnly          bool                 `json:",omitempty"` // the receiver replies at once, with nothing
+	Home                bool                 `json:",omitempty"` // the receiver counts the sender; an entry has one home
+	Gathered            *Gathered            `json:",omitempty"` // set by control instances
+}
+
+// Gathered is what a control instance has gathered from the entries whose home it is.
+type Gathered struct {
+	Entries []uint32        `json:",omitempty"` // hashes of their names; an entry may change its home
+	Probing map[string]int  `json:",omitempty"` // number of instances that probe the members of a service
+	Failing []FailingMember `json:",omitempty"`
+}
+
+// FailingMember is a backend server that some instances have had no answer from for so long that
+// it counts as failing there.
+type FailingMember struct {
+	Service   string
+	ID        string
+	Instances int
+}
+
+// ControlAddr is the address of a control instance, and its zone if known.
+type ControlAddr struct {
+	Addr string
+	Zone string `json:",omitempty"`
 }
 
 // LeaseRequest asks for leases, and reports those that the sender has from the receiver.
@@ -92,13 +115,14 @@
 	ConfigVersion  uint64         `json:"Version"`    // newest version of the configuration that the sender has; Fetch returns it
 	Config         *FetchReply    `json:",omitempty"` // that version relative to ConfigHeld, if it is small and new to the requester
 	RosterEntries  []roster.Entry `json:"Entries"`    // entries that changed after the revision of the request
-	ControlAddrs   []string       `json:"Control"`    // addresses of the control members
+	Controls       []ControlAddr  `json:"Control"`    // the control members
+	Led            bool           `json:",omitempty"` // the sender knows a leader of control that is in office
+	Leader         string         `json:",omitempty"` // address of that leader
 	EntryCount     int            `json:"Instances"`  // number of live entries
 	Zone           string         // zone of the control instance
 	PeersDigest    uint64         `json:"Digest"`     // digest of the peers in the zone of the requester
 	Peers          []Peer         `json:",omitempty"` // these peers, if the digest of the request differs
 	Lease          *LeaseReply    `json:",omitempty"` // nil unless the sender leads and was asked for leases
-	Leads          bool           `json:",omitempty"` // the sender is the leader of control
 }
 
 // Peer is an entry that serves requests which other entries of its zone forward.
@@ -408,20 +432,28 @@
 	return c.dial(ctx, c.addr)
 }
 
-// call makes one drpc call. It closes a connection on which a call failed, because the
-// connection may be silent.
+// call makes one drpc call.
 func call[Out any](ctx context.Context, c *Client, name string, enc drpc.Encoding, in any) (*Out, error) {
+	return callAfter[Out](ctx, c, name, enc, in, attemptInterval)
+}
+
+// callAfter makes one drpc call. If attempts overlap, another one starts whenever none has been
+// answered for interval. It closes a connection on which a call failed, because the connection
+// may be silent.
+func callAfter[Out any](ctx context.Context, c *Client, name string, enc drpc.Encoding, in any, interval time.Duration) (*Out, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.conn
 	c.conn = nil
-	invoke := invokeOnce[Out]
+	invoke := func(ctx context.Context, conn *drpcconn.Conn, out *Out) error {
+		return conn.Invoke(ctx, name, enc, in, out)
+	}
+	var r invokeResult[Out]
 	if c.overlapping {
-		invoke = invokeOverlapping[Out]
+		r = invokeOverlapping(ctx, kept, c.open, invoke, interval)
+	} else {
+		r = invokeOnce(ctx, kept, c.open, invoke)
 	}
-	r := invoke(ctx, kept, c.open, func(ctx context.Context, conn *drpcconn.Conn, out *Out) error {
-		return conn.Invoke(ctx, name, enc, in, out)
-	})
 	if r.err != nil {
 		return nil, eris.Wrapf(r.err, "mesh: call %s at %s", name, c.addr)
 	}
@@ -438,9 +470,13 @@
 	return drpcconn.New(nc), nil
 }
 
+// syncAnswerMargin is how long after its wait a Sync call may go unanswered before another attempt
+// starts.
+const syncAnswerMargin = 600 * time.Millisecond
+
 // Sync sends the state of this instance and returns what is newer at the other one.
 func (c *Client) Sync(ctx context.Context, in *SyncRequest) (*SyncReply, error) {
-	return call[SyncReply](ctx, c, callSync, c.encoding, in)
+	return callAfter[SyncReply](ctx, c, callSync, c.encoding, in, in.Wait+syncAnswerMargin)
 }
 
 // Put asks the instance to store a configuration.
