--- a/cmds/hosted.go
+++ b/cmds/hosted.go
@@ -36,8 +36,8 @@
 	// settingsCheckInterval is the time between checks of the settings file, which
 	// may change without a signal.
 	settingsCheckInterval = 2 * time.Second
-	roleEntry   = "entry"
-	roleControl = "control"
+	roleEntry             = "entry"
+	roleControl           = "control"
 )
 
 // hostedCommand runs one role with the settings file that the platform provides.
