proxy: the shares of connections agree between zones of different sizes

Cause: holders and other instances divided the connections of a backend server by the number of instances in their own zone. With 49 connections and zones of 19, 22 and 23 instances the smallest zone kept one connection an instance to its server, which the holders of the larger zones counted as theirs: up to 64 of 47. Change: holders reckon with the mean size of a zone; other instances divide what the holders of all zones leave. Measured: TestSharesOfUnequalZones fails before (64 of 47).

--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"tamarackcross/config"
+	"tamarackcross/place"
 	"tamarackcross/roster"
 )
 
@@ -32,3 +34,27 @@
 		}
 	}
 }
+
+// TestSharesOfUnequalZones guards against shares that exceed what a backend server accepts where
+// zones have different numbers of instances: the instances of a small zone kept connections to
+// its server which the holders of the larger zones had counted as theirs.
+func TestSharesOfUnequalZones(t *testing.T) {
+	for _, tc := range []struct {
+		maxConns int
+		zones    []int // number of instances
+	}{
+		{49, []int{19, 22, 23}}, {53, []int{25, 23, 27}}, {166, []int{20, 21, 20, 15}}, {125, []int{61, 58, 58, 62, 56}}, {60, []int{4, 30, 30}},
+	} {
+		cfg, instances := config.Service{MaxConns: tc.maxConns}, 0
+		for _, n := range tc.zones {
+			instances += n
+		}
+		holders := place.HoldersPerZone(tc.maxConns-reservedControlConns, len(tc.zones)) * len(tc.zones)
+		for i, n := range tc.zones {
+			sum := holders*(holderShare(cfg, len(tc.zones), instances)+probeConns) + n*nonHolderShare(cfg, len(tc.zones), instances, n)
+			if most := tc.maxConns - reservedControlConns; sum > most {
+				t.Errorf("zones of %v instances: shares of the server in zone %d add up to %d, want at most %d", tc.zones, i, sum, most)
+			}
+		}
+	}
+}
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -382,12 +382,20 @@
 }
 
 // holderShare returns how many connections to a backend server a holder may use for
-// statements. The connections are shared by the holders of all zones and by the peers
-// that keep some for reads in their zone.
-func holderShare(cfg config.Service, zones, peers int) int {
-	conns := cfg.MaxConns - reservedControlConns
-	holders := place.HoldersPerZone(conns, zones) * zones
-	return max(minConnShare, (conns-peers*nonHolderShare(cfg, zones, peers))/holders-probeConns)
+// statements. The connections are shared by the holders of all zones and by the instances
+// in the zone of the server, which keep some for reads. A holder does not know the sizes of
+// other zones and reckons with their mean, so that all holders get the same share.
+func holderShare(cfg config.Service, zones, instances int) int {
+	conns, holders := cfg.MaxConns-reservedControlConns, holderCount(cfg, zones)
+	perZone := max(1, (instances+zones-1)/zones)
+	spare := conns - holders*(minConnShare+probeConns)
+	kept := perZone * min(maxNonHolderShare, max(0, spare/perZone))
+	return max(minConnShare, (conns-kept)/holders-probeConns)
+}
+
+// holderCount returns the number of holders of a service in all zones.
+func holderCount(cfg config.Service, zones int) int {
+	return place.HoldersPerZone(cfg.MaxConns-reservedControlConns, zones) * zones
 }
 
 // maxNonHolderShare is the most connections that an instance that is no holder keeps to
@@ -395,10 +403,11 @@
 const maxNonHolderShare = 3
 
 // nonHolderShare returns how many connections an instance that is no holder keeps to a
-// backend server of its zone.
-func nonHolderShare(cfg config.Service, zones, peers int) int {
+// backend server of its zone, which has peers instances: those that the holders of all zones
+// leave, divided by peers.
+func nonHolderShare(cfg config.Service, zones, instances, peers int) int {
 	conns := cfg.MaxConns - reservedControlConns
-	spare := conns - place.HoldersPerZone(conns, zones)*zones*(minConnShare+probeConns)
+	spare := conns - holderCount(cfg, zones)*(holderShare(cfg, zones, instances)+probeConns)
 	return min(maxNonHolderShare, max(0, spare/max(1, peers)))
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -184,9 +184,9 @@
 		holds := v.setHolders(holders[name], now)
 		switch peers := s.peers.count(); {
 		case connsAreScarce && holds:
-			shares = connShares{base: holderShare(cfg, s.zones, peers), keepIdle: true}
+			shares = connShares{base: holderShare(cfg, s.zones, n), keepIdle: true}
 		case connsAreScarce && peers > 0:
-			shares.sameZone = nonHolderShare(cfg, s.zones, peers)
+			shares.sameZone = nonHolderShare(cfg, s.zones, n, peers)
 		}
 		v.setControlProbes(s.prover != nil && connsAreScarce && !holds)
 		v.updateMembers(s.roster.Members(name), shares, now)
