proxy: a backend server that accepts no more connections is not counted as lost

Cause: a refused connection (MAXCONN) counted as a failure of the server. After a loss of power the connections of the dead processes fill a server for 3 s; the instances then left the primary alone for up to another 0.5 s although connections were free. Change: MAXCONN is an answer, as Busy is. The quota and the backoff of new connections handle it, as before. Measured: TestForwarding/full fails before.

--- a/proxy/forward_test.go
+++ b/proxy/forward_test.go
@@ -205,6 +205,9 @@
 					p.addMember(line)
 				case "holder":
 					p.setHolderFault(t, line)
+				case "fault":
+					p.inject(line)
+					out = append(out, "ok")
 				case "open":
 					out = append(out, p.open(line))
 				case "send":
--- a/proxy/group_test.go
+++ b/proxy/group_test.go
@@ -34,6 +34,7 @@
 	// busy, and a server that does not answer at all.
 	loseAnswers, failSends, rejectBusy int
 	unreachable                        bool
+	openConns, maxConns                int // no limit if maxConns is 0
 }
 
 // Dial opens a connection.
@@ -46,8 +47,11 @@
 		return nil, os.ErrDeadlineExceeded
 	case m.id != t.ID:
 		return nil, &proxy.Fault{Code: proxy.Moved, Text: m.id}
+	case m.maxConns > 0 && m.openConns >= m.maxConns:
+		return nil, &proxy.Fault{Code: proxy.TooManyConns}
 	}
 	m.conns++
+	m.openConns++
 	return &fakeConn{m: m, values: map[string]string{}, prepared: map[string]proxy.PreparedStatement{}, position: m.position}, nil
 }
 
@@ -92,6 +96,12 @@
 func (c *fakeConn) Alive() bool              { return !c.broken && !c.closed }
 
 func (c *fakeConn) Close() error {
+	g := c.m.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !c.closed {
+		c.m.openConns--
+	}
 	c.closed = true
 	return nil
 }
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -358,9 +358,10 @@
 		return e.Reason()
 	}
 	var f *Fault
-	if !errors.As(err, &f) || f.Code != Busy {
-		w.svc.recordOutcome(m, false)
+	if errors.As(err, &f) && (f.Code == Busy || f.Code == TooManyConns) {
+		return errs.ReasonConnect // the server answers
 	}
+	w.svc.recordOutcome(m, false)
 	return errs.ReasonConnect
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -302,6 +302,8 @@
 		m.rejectBusy = n
 	case "unreachable":
 		m.unreachable = n > 0
+	case "full":
+		m.maxConns = m.openConns * min(n, 1) // "full 1": no more than are open now
 	}
 }
 
