proxy, platform: a planned stop answers requests that have just arrived

Cause: when an instance drained, a session outside a transaction ended at its next turn, and an interrupted wait ended with a read deadline in the past: a request that lay in the receive buffer, or of which the first bytes had been read, was dropped and the connection closed without an answer. A session opened meanwhile got READY and was closed at once. One request of a session still runs after the interrupt; later ones and new transactions are refused as not run, and the session ends. New sessions are refused as not run.

--- a/proxy/codec.go
+++ b/proxy/codec.go
@@ -23,7 +23,8 @@
 	Refuse(*Fault) error
 	// Reply answers the last request that Next returned.
 	Reply(Answer) error
-	// Interrupt makes a waiting Next return ErrInterrupted.
+	// Interrupt makes this and later calls of Next return ErrInterrupted, unless a request
+	// has arrived or arrives soon.
 	Interrupt()
 	Close() error
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -300,6 +300,10 @@
 		_ = c.Refuse(f)
 		return
 	}
+	if s.draining.Load() {
+		_ = c.Refuse(leavingFault)
+		return
+	}
 	x := newSession(s, c, database, user)
 	if !s.addSession(x) {
 		_ = c.Refuse(fault(Busy, "too many sessions, come back in 500 ms"))
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -39,7 +39,8 @@
 	mu          sync.Mutex
 	waiting     bool // for the next request
 	waitingInTx bool // the wait is inside a transaction
-	interrupted bool
+	interrupted bool // the instance is leaving
+	late        int  // requests since then
 }
 
 // transaction is a transaction that the caller opened. It is opened at a member or a
@@ -71,6 +72,10 @@
 			s.handleReadError(err)
 			return
 		}
+		if s.refusesLate(req) {
+			_ = s.caller.Refuse(leavingFault)
+			return
+		}
 		answer := s.handle(ctx, req)
 		if req.Forwarded != nil {
 			answer.Proof = s.srv.service(req.Forwarded.Route.Service).newestProof(s.srv.now())
@@ -92,19 +97,40 @@
 		limit = doc.IdleTransactionTimeout
 	}
 	s.mu.Lock()
-	if s.srv.draining.Load() && !inTx {
-		s.mu.Unlock()
-		return Request{}, ErrInterrupted
-	}
 	s.waiting, s.waitingInTx = true, inTx
 	s.mu.Unlock()
+	if s.srv.draining.Load() {
+		s.interrupt(false)
+	}
 	req, err := s.caller.Next(limit)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.waiting = false
-	s.mu.Unlock()
+	if s.interrupted {
+		s.late++
+	}
 	return req, err
 }
 
+// leavingFault refuses a request on a connection that the instance closes after it.
+var leavingFault = fault(Busy, "not run: the instance is leaving, come back in 0 ms")
+
+// maxLateRequests is the number of requests of a session that run although the instance is
+// leaving. A caller that sends one after the other would keep the session open.
+const maxLateRequests = 1
+
+// refusesLate reports whether the request comes too late: the instance is leaving. A request
+// that had arrived before the session ended still runs, but no new transaction is opened.
+func (s *session) refusesLate(req Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.interrupted || s.tx != nil || s.failed {
+		return false
+	}
+	_, begins := req.Statement.(Begin)
+	return begins || s.late > maxLateRequests
+}
+
 // interrupt ends the session if it waits for a request. Inside a transaction it does
 // so only if includeTx is set.
 func (s *session) interrupt(includeTx bool) {
--- a/relay/holder.go
+++ b/relay/holder.go
@@ -146,7 +146,7 @@
 // Reply answers the last request that Next returned.
 func (c *codec) Reply(a proxy.Answer) error { return c.stream.MsgSend(encodeAnswer(a), encoding{}) }
 
-// Interrupt makes a waiting Next return ErrInterrupted.
+// Interrupt makes Next return ErrInterrupted. Close then says that no request was taken.
 func (c *codec) Interrupt() { c.once.Do(func() { close(c.interrupted) }) }
 
 // Close tells the other instance that no further request is processed, and closes the
