proxy, entry, ctrl: a panic in one request or call ends neither the process nor a later stop

Cause: a panic in the goroutine of a session was kept by its group and raised again when the server closed, so that a planned stop crashed; a panic in a call of another instance ended the process at once. A request that ended so kept the connection that it had borrowed. Change: sessions and calls are contained: the panic is logged with its stack, counted as panics, and ends that session or call. A session closes the connection that it has borrowed.

--- a/ctrl/bench_test.go
+++ b/ctrl/bench_test.go
@@ -39,7 +39,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- ctrl.Serve(ctx, l, mux) }()
+	go func() {
+		done <- ctrl.Serve(ctx, l, mux, func(call string, err error) { b.Errorf("%s: %v", call, err) })
+	}()
 	b.Cleanup(func() {
 		cancel()
 		<-done
--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -98,7 +98,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- ctrl.Serve(ctx, l, mux) }()
+	go func() {
+		served <- ctrl.Serve(ctx, l, mux, func(call string, err error) { c.t.Errorf("%s: %v", call, err) })
+	}()
 	m.node, m.memberID = node, node.Identity()
 	m.stop = func() {
 		cancel()
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -5,6 +5,9 @@
 	"net"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/panics"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -23,9 +26,28 @@
 	return ctlpb.DRPCRegisterControl(mux, &service{n: n})
 }
 
-// Serve serves the services of mux on l until ctx ends.
-func Serve(ctx context.Context, l net.Listener, mux *drpcmux.Mux) error {
-	return drpcserver.New(mux).Serve(ctx, l)
+// Serve serves the calls that handler handles on l until ctx ends. A panic in one of them fails
+// that call alone, and is reported.
+func Serve(ctx context.Context, l net.Listener, handler drpc.Handler, report func(call string, err error)) error {
+	return drpcserver.New(container{handler, report}).Serve(ctx, l)
+}
+
+// container keeps a panic in one call from ending the process.
+type container struct {
+	handler drpc.Handler
+	report  func(call string, err error)
+}
+
+var errPanicked = eris.New("ctrl: the call ended with an unexpected error")
+
+// HandleRPC handles one call.
+func (c container) HandleRPC(stream drpc.Stream, call string) error {
+	var err error
+	if r := panics.Try(func() { err = c.handler.HandleRPC(stream, call) }); r != nil {
+		c.report(call, r.AsError())
+		return errPanicked
+	}
+	return err
 }
 
 // Hello replies with the members that are known and proposes to add the caller if it
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/panics"
 
 	"tamarackcross/errs"
+	"tamarackcross/event"
 	"tamarackcross/fleet"
 	"tamarackcross/learn"
 	"tamarackcross/stats"
@@ -186,13 +188,21 @@
 			}
 			return err
 		}
-		if !s.wg.Go(func() { s.handle(ctx, nc) }) {
+		if !s.wg.Go(func() { s.contain(func() { s.handle(ctx, nc) }) }) {
 			_ = nc.Close()
 			return nil
 		}
 	}
 }
 
+// contain runs the work for one caller. A panic ends the session, not the process.
+func (s *Server) contain(f func()) {
+	if r := panics.Try(f); r != nil {
+		s.log.Error().Str(event.Work, "session").Err(r.AsError()).Msg("unexpected error; the work was given up")
+		s.stats.Panicked()
+	}
+}
+
 // Draining reports whether the instance is shutting down.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
--- a/event/event.go
+++ b/event/event.go
@@ -37,6 +37,7 @@
 	Lag         = "lag_ms"      // estimated replication lag of the member
 	Version     = "version"     // version of the configuration
 	Holder      = "holder"      // instance that a request was forwarded to
+	Work        = "work"        // kind of work
 )
 
 // Values of the field Outcome.
@@ -105,6 +106,11 @@
 // Request begins a line that belongs to a request of a caller.
 func (l *Log) Request(level zerolog.Level) *zerolog.Event { return l.requests.WithLevel(level) }
 
+// Panicked logs a panic, with its stack, that ended the work named by what, not the process.
+func (l *Log) Panicked(what string, err error) {
+	l.Error().Str(Work, what).Err(err).Msg("unexpected error; the work was given up")
+}
+
 // Sampled reports whether the lines of a request that succeeds at the first attempt are
 // written: either all of them or none.
 func (l *Log) Sampled(id string, now time.Time) bool { return l.sampler.Keep(id, now) }
--- a/host/control.go
+++ b/host/control.go
@@ -100,7 +100,7 @@
 	}
 	c.clients.start(c.ctx, s.Seeds)
 	c.http = &http.Server{Handler: p.Handler(c), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
-	go func() { c.ended <- ctrl.Serve(c.ctx, peerListener, mux) }()
+	go func() { c.ended <- ctrl.Serve(c.ctx, peerListener, mux, panicReport(p.Log, p.Stats)) }()
 	go func() { c.ended <- serveHTTP(c.http, apiListener) }()
 	go func() {
 		<-c.node.Done()
--- a/host/entry.go
+++ b/host/entry.go
@@ -105,7 +105,7 @@
 	e.readyServer = &http.Server{Handler: p.Ready(e.Ready), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	go func() { e.ended <- e.server.Serve(e.ctx, callerListener, p.Open) }()
 	go func() { e.ended <- serveHTTP(e.readyServer, readyListener) }()
-	go func() { e.ended <- ctrl.Serve(e.ctx, peerListener, mux) }()
+	go func() { e.ended <- ctrl.Serve(e.ctx, peerListener, mux, panicReport(p.Log, p.Stats)) }()
 	go func() { e.config.done <- e.config.run(e.ctx) }()
 	return e, nil
 }
@@ -279,3 +279,11 @@
 
 // HandleForwarded serves the requests that another instance forwards through c.
 func (h relayHolder) HandleForwarded(c proxy.Caller) { h.e.server.HandleForwarded(c) }
+
+// panicReport returns a function that logs and counts a panic which ended a call.
+func panicReport(log *event.Log, st *stats.Registry) func(call string, err error) {
+	return func(call string, err error) {
+		log.Panicked(call, err)
+		st.Panicked()
+	}
+}
--- a/host/urgent_test.go
+++ b/host/urgent_test.go
@@ -51,7 +51,9 @@
 		t.Fatal(err)
 	}
 	served := make(chan error, 1)
-	go func() { served <- ctrl.Serve(ctx, l, mux) }()
+	go func() {
+		served <- ctrl.Serve(ctx, l, mux, func(call string, err error) { t.Errorf("%s: %v", call, err) })
+	}()
 	c := newControlClients("", "a", mesh.Dial, time.Now, event.Nop(), stats.New(nil))
 	c.newRequest = func() mesh.SyncRequest {
 		return mesh.SyncRequest{Name: "front-1", UnresponsiveMembers: []mesh.UnresponsiveMember{{Service: "svc", ID: "m1", For: time.Second}}}
--- a/inst/inst.go
+++ b/inst/inst.go
@@ -17,6 +17,7 @@
 	"tamarackcross/ctlpb"
 	"tamarackcross/ctrl"
 	"tamarackcross/entry"
+	"tamarackcross/event"
 	"tamarackcross/pgctl"
 	"tamarackcross/state"
 	"tamarackcross/stats"
@@ -197,7 +198,7 @@
 			}
 		})
 	}
-	i.run(func(ctx context.Context) error { return ctrl.Serve(ctx, i.peerListener, mux) })
+	i.run(func(ctx context.Context) error { return ctrl.Serve(ctx, i.peerListener, mux, i.reportPanic) })
 	i.run(i.dissemination.run)
 	i.run(i.announcements.run)
 	i.run(i.register)
@@ -371,3 +372,9 @@
 		_ = i.stats.Close()
 	}
 }
+
+// reportPanic logs and counts a panic that ended a call of another instance.
+func (i *Instance) reportPanic(call string, err error) {
+	i.log.Error().Str(event.Work, call).Err(err).Msg("unexpected error; the work was given up")
+	i.stats.Panicked()
+}
--- a/proxy/group_test.go
+++ b/proxy/group_test.go
@@ -34,7 +34,8 @@
 	// busy, and a server that does not answer at all.
 	loseAnswers, failSends, rejectBusy int
 	unreachable                        bool
-	openConns, maxConns                int // no limit if maxConns is 0
+	openConns, maxConns                int  // no limit if maxConns is 0
+	panicNext                          bool // the next statement panics
 }
 
 // Dial opens a connection.
@@ -114,6 +115,10 @@
 	if c.closed || c.broken {
 		return nil, proxy.ErrNotSent
 	}
+	if _, ok := cmds[len(cmds)-1].(proxy.Run); ok && c.m.panicNext {
+		c.m.panicNext = false
+		panic("unexpected answer")
+	}
 	if c.m.unreachable {
 		c.broken = true
 		return nil, os.ErrDeadlineExceeded
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -279,7 +279,7 @@
 func (w *operation) readAt(ctx context.Context, p placement) (Answer, errs.Reason) {
 	w.logRouted(p)
 	w.notAdmitted = false
-	c, err := p.member.borrow(ctx, w.admissionRequest(0))
+	c, err := w.borrow(ctx, p.member)
 	if err != nil {
 		return Answer{}, w.handleBorrowError(p.member, err)
 	}
@@ -293,11 +293,11 @@
 	if e := errs.As(err); e != nil {
 		w.notAdmitted = true
 		c.dirty = true // the commands of sessionSetup were not sent
-		p.member.put(c, true)
+		w.put(c, true)
 		return Answer{}, e.Reason()
 	}
 	if err != nil {
-		p.member.put(c, false)
+		w.put(c, false)
 		if !p.bound.position.IsZero() && isTimeout(err) {
 			p.member.raiseLag(p.bound.at) // a replica answers only when it has the position
 			return Answer{}, errs.ReasonBoundUnknown
@@ -309,11 +309,11 @@
 	a := answers[len(answers)-1]
 	for _, before := range answers[:len(answers)-1] {
 		if before.Fault != nil {
-			p.member.put(c, false)
+			w.put(c, false)
 			return Answer{}, errs.ReasonBackendLost
 		}
 	}
-	p.member.put(c, a.Status == Idle)
+	w.put(c, a.Status == Idle)
 	if a.Fault == nil {
 		w.recordServed(p.member)
 		return Answer{Rows: a.Rows, Signature: a.Signature, Position: a.Position, Status: Idle}, ""
@@ -351,6 +351,19 @@
 	return w.session.refuse(a.Fault), ""
 }
 
+// borrow borrows a connection to the member. The session gives it back if the operation ends
+// without doing so.
+func (w *operation) borrow(ctx context.Context, m *member) (*backendConn, error) {
+	c, err := m.borrow(ctx, w.admissionRequest(0))
+	w.session.borrowed = c
+	return c, err
+}
+
+func (w *operation) put(c *backendConn, clean bool) {
+	w.session.borrowed = nil
+	c.member.put(c, clean)
+}
+
 // handleBorrowError records why no connection was borrowed and returns the reason.
 func (w *operation) handleBorrowError(m *member, err error) errs.Reason {
 	if e := errs.As(err); e != nil && e.Reason() != errs.ReasonConnect {
@@ -405,33 +418,33 @@
 func (w *operation) writeAt(ctx context.Context, m *member) (Answer, errs.Reason) {
 	w.logRouted(placement{member: m})
 	w.notAdmitted = false
-	c, err := m.borrow(ctx, w.admissionRequest(0))
+	c, err := w.borrow(ctx, m)
 	if err != nil {
 		return Answer{}, w.handleBorrowError(m, err)
 	}
 	if err := w.setUpSession(c); err != nil {
-		m.put(c, false)
+		w.put(c, false)
 		return Answer{}, errs.ReasonBackendLost
 	}
 	w.needsLease = true
 	answers, err := c.execAdmitted(ctx, w, w.deadline().Sub(w.now()), w.command(readBound{}))
 	if e := errs.As(err); e != nil {
 		w.notAdmitted = e.Reason() != errs.ReasonNoPrimary
-		m.put(c, true)
+		w.put(c, true)
 		return Answer{}, e.Reason()
 	}
 	if errors.Is(err, ErrNotSent) {
-		m.put(c, false)
+		w.put(c, false)
 		return Answer{}, errs.ReasonBackendLost
 	}
 	if err != nil {
-		m.put(c, false)
+		w.put(c, false)
 		w.svc.recordOutcome(m, false)
 		return w.session.refuse(w.inDoubt(m, err)), ""
 	}
 	w.svc.recordOutcome(m, true)
 	a := answers[0]
-	m.put(c, a.Status == Idle)
+	w.put(c, a.Status == Idle)
 	if a.Fault == nil && !w.confirmed(ctx, m) {
 		return w.session.refuse(w.inDoubt(m, errUnconfirmed)), ""
 	}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/panics"
 
 	"tamarackcross/config"
 	"tamarackcross/event"
@@ -279,13 +280,21 @@
 			}
 			return err
 		}
-		if !s.wg.Go(func() { s.handle(open(nc)) }) {
+		if !s.wg.Go(func() { s.contain(func() { s.handle(open(nc)) }) }) {
 			_ = nc.Close()
 			return nil
 		}
 	}
 }
 
+// contain runs the work for one caller. A panic ends the session, not the process.
+func (s *Server) contain(f func()) {
+	if r := panics.Try(f); r != nil {
+		s.log.Panicked("session", r.AsError())
+		s.stats.Panicked()
+	}
+}
+
 // handle serves one caller until its connection ends.
 func (s *Server) handle(c Caller) {
 	defer c.Close()
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -31,7 +31,8 @@
 	prepared    map[string]PreparedStatement
 	lastCommits map[string]timedPosition // newest commit of the session, by service
 	tx          *transaction
-	failed      bool // the transaction failed and only its end is accepted
+	failed      bool         // the transaction failed and only its end is accepted
+	borrowed    *backendConn // for the current request, outside a transaction
 
 	forwardedRoute   *config.Route // route of the current request, if another instance forwarded it
 	forwardedElapsed time.Duration // from the arrival at that instance until the request came here
@@ -154,6 +155,9 @@
 
 // release rolls back an open transaction by closing its connection.
 func (s *session) release() {
+	if c := s.borrowed; c != nil {
+		c.member.put(c, false)
+	}
 	if s.tx != nil {
 		s.releaseTx(false)
 	}
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -125,34 +125,34 @@
 func (w *operation) openTxAt(ctx context.Context, p placement) errs.Reason {
 	w.logRouted(p)
 	w.notAdmitted = false
-	c, err := p.member.borrow(ctx, w.admissionRequest(0))
+	c, err := w.borrow(ctx, p.member)
 	if err != nil {
 		return w.handleBorrowError(p.member, err)
 	}
 	if err := w.setUpSession(c); err != nil {
-		p.member.put(c, false)
+		w.put(c, false)
 		return errs.ReasonBackendLost
 	}
 	tx := w.session.tx
 	if !tx.readOnly {
 		if err := w.requireLease(p.member); err != nil {
-			p.member.put(c, true)
+			w.put(c, true)
 			return errs.ReasonNoPrimary
 		}
 		tx.epoch = w.epoch
 	}
 	answers, err := c.exec(min(dialTimeout, w.deadline().Sub(w.now())), BeginTx{ReadOnly: tx.readOnly, After: p.bound.position})
 	if err != nil {
-		p.member.put(c, false)
+		w.put(c, false)
 		w.svc.recordOutcome(p.member, false)
 		return errs.ReasonBackendLost
 	}
 	a := answers[0]
 	if a.Fault == nil {
-		tx.conn = c
+		tx.conn, w.session.borrowed = c, nil
 		return ""
 	}
-	p.member.put(c, a.Status == Idle)
+	w.put(c, a.Status == Idle)
 	switch a.Fault.Code {
 	case ReadOnly:
 		w.svc.clearPrimary(p.member.target.ID)
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -80,6 +80,9 @@
 // Refused counts a refused request.
 func (r *Registry) Refused(reason errs.Reason) { r.counter(r.refusals, "refusals", reason).Inc(1) }
 
+// Panicked counts a panic that ended the work for one request.
+func (r *Registry) Panicked() { r.scope.Counter("panics").Inc(1) }
+
 // Retried counts a retry of a request.
 func (r *Registry) Retried(reason errs.Reason) { r.counter(r.retries, "retries", reason).Inc(1) }
 
