proxy: a probe that the instance itself slept through says nothing about the server

Cause: an instance that was suspended for some seconds found its own probes out of time when it ran again, and reported the servers as unresponsive, since the time before the suspension. Change: a probe that took longer than its time limits allow is no evidence. The next one, a probe interval later, counts again.

--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -20,6 +20,9 @@
 	// primarySearchInterval is the time between probes while no member is known to
 	// be the primary.
 	primarySearchInterval = 60 * time.Millisecond
+	// suspensionMargin is how much longer than its time limits a probe takes only if this
+	// instance did not run meanwhile.
+	suspensionMargin = 200 * time.Millisecond
 )
 
 // prober asks one member for its role and position, on a connection of its own that
@@ -92,7 +95,7 @@
 	if err != nil {
 		p.closeConn()
 	}
-	if p.member.recordProbe(err, began) {
+	if p.member.recordProbe(err, began, p.member.now()) {
 		p.svc.srv.healthChanged()
 	}
 	if err != nil {
@@ -255,7 +258,7 @@
 
 // recordProbe records the outcome of a probe, and reports whether the member has started or
 // stopped to answer. A refusal counts as an answer.
-func (m *member) recordProbe(err error, began time.Time) bool {
+func (m *member) recordProbe(err error, began, ended time.Time) bool {
 	var f *Fault
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -264,6 +267,9 @@
 	case err == nil || errors.As(err, &f):
 		m.failingSince = time.Time{}
 		return failing
+	case ended.Sub(began) > 2*probeTimeout+suspensionMargin: // connect and exchange
+		m.failingSince = time.Time{} // this instance was suspended, which says nothing about the server
+		return failing
 	case !failing:
 		m.failingSince = began
 		return true
