host: a planned stop of control answers the requests under way

Cause: Shutdown closed the HTTP server with its connections: an operator's change that had just been accepted, or the announcement of a server, ended without an answer. Change: no further request is accepted, those under way are answered for up to 1 s, then the role stops. Measured: TestControlShutdownAnswers fails before (EOF).

--- a/host/control.go
+++ b/host/control.go
@@ -515,9 +515,16 @@
 	return body, err
 }
 
-// Shutdown stops the role at once. Whatever it acknowledged is on disk already.
+// maxAnswerWait bounds how long a planned stop waits for the answers to requests of operators
+// and servers.
+const maxAnswerWait = time.Second
+
+// Shutdown accepts no further requests, answers those under way and stops the role. Whatever it
+// acknowledged is on disk already.
 func (c *Controller) Shutdown() {
-	if err := c.Close(); err != nil {
+	ctx, stop := context.WithTimeout(context.Background(), maxAnswerWait)
+	defer stop()
+	if err := errors.Join(c.http.Shutdown(ctx), c.Close()); err != nil {
 		c.deps.Log.Warn().Err(err).Msg("control role stopped, but closing its servers or its log failed")
 	}
 }
