raft: a message that no correct member sends is dropped

Cause: entries that do not follow the one before them, or each other, went into the log; cutting it at an impossible index ended the process with a panic. Found by TestOddMessages, which sends messages with impossible terms, indexes and sizes. Change: such messages are dropped like lost ones.

--- a/raft/message.go
+++ b/raft/message.go
@@ -100,3 +100,21 @@
 func (HeartbeatReply) message()       {}
 func (InstallSnapshot) message()      {}
 func (InstallSnapshotReply) message() {}
+
+// wellFormed reports whether a correct member can have sent m. Any other message is dropped like a
+// lost one.
+func wellFormed(m Message) bool {
+	if m.Head().From == 0 {
+		return false
+	}
+	if m, ok := m.(AppendEntries); ok {
+		prev := EntryID{Index: m.PrevIndex, Term: m.PrevTerm}
+		for _, e := range m.Entries {
+			if e.Index != prev.Index+1 || e.Term < prev.Term || e.Term > m.Term {
+				return false
+			}
+			prev = EntryID{Index: e.Index, Term: e.Term}
+		}
+	}
+	return true
+}
--- a/raft/node.go
+++ b/raft/node.go
@@ -96,10 +96,11 @@
 }
 
 // Step handles a message from another member. A message to another ID is ignored:
-// the address may have belonged to a member that lost its disk.
+// the address may have belonged to a member that lost its disk. So is one that no
+// correct member sends.
 func (n *Node) Step(m Message, now time.Time) Output {
 	h := m.Head()
-	if n.fault != nil || h.To != n.hard.ID || h.From == n.hard.ID {
+	if n.fault != nil || h.To != n.hard.ID || h.From == n.hard.ID || !wellFormed(m) {
 		return Output{Fault: n.fault}
 	}
 	n.checkQuorum(now)
