--- a/review/stand/permits.go
+++ b/review/stand/permits.go
@@ -63,7 +63,7 @@
 	old := []*machine{s.front[0], s.front[3]}
 	var served, refused atomic.Int64
 	var pause atomic.Int64
-	pause.Store(int64(10 * time.Millisecond))
+	pause.Store(int64(2 * time.Millisecond))
 	end := make(chan struct{})
 	var wg sync.WaitGroup
 	for i, m := range old {
