--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,7 +22,7 @@
 
 // cases are the cases by name. trouble says whether the disruption takes place.
 var cases = map[string]func(s *site, trouble bool) (int, error){
-	"core": coreCase, "sync": syncCase, "permits": permitsCase,
+	"core": coreCase, "sync": syncCase, "permits": permitsCase, "heartbeat": heartbeatCase,
 }
 
 func main() { os.Exit(run()) }
