--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -14,10 +14,10 @@
 	s        *site
 	services map[string]*service
 	lost     func(v *service, id string, e logEntry) // a commit that is not in the log of the promoted member
-	ordered  func(v *service, id string)
 
-	mu     sync.Mutex
-	tokens map[string]uint64
+	mu      sync.Mutex
+	ordered func(v *service, id string) // an order was taken
+	tokens  map[string]uint64
 }
 
 // promoteTime is how long a promotion takes.
@@ -45,7 +45,7 @@
 		return
 	}
 	p.mu.Lock()
-	v := p.services[order.Backend]
+	v, taken := p.services[order.Backend], p.ordered
 	fenced := token < p.tokens[order.Backend]
 	if !fenced {
 		p.tokens[order.Backend] = token
@@ -64,8 +64,8 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	if p.ordered != nil {
-		p.ordered(v, order.ID)
+	if taken != nil {
+		taken(v, order.ID)
 	}
 	time.AfterFunc(promoteTime, func() { p.lead(v, m) })
 }
--- a/review/stand/sync.go
+++ b/review/stand/sync.go
@@ -81,7 +81,15 @@
 	}
 	time.Sleep(4 * time.Second)
 	if trouble {
-		primary, replica := v.members[0], v.members[2]
+		primary, ordered := v.members[0], make(chan string, 1)
+		p.mu.Lock()
+		p.ordered = func(_ *service, id string) {
+			select {
+			case ordered <- id:
+			default:
+			}
+		}
+		p.mu.Unlock()
 		cut := map[string]bool{}
 		for _, m := range append(append([]*machine{}, s.core...), s.front[:4]...) {
 			cut[m.name] = true
@@ -90,7 +98,18 @@
 		primary.cut = cut
 		v.mu.Unlock()
 		s.note("%s is partitioned from the core and from %d of %d entries", primary.id, 4, len(s.front))
-		time.Sleep(1300 * time.Millisecond)
+		replica := v.members[2]
+		select {
+		case id := <-ordered:
+			for _, m := range v.members {
+				if m.id == id {
+					replica = m
+				}
+			}
+		case <-time.After(5 * time.Second):
+			s.note("no promotion was ordered")
+		}
+		time.Sleep(300 * time.Millisecond)
 		replica.setDeaf(true)
 		s.note("%s receives nothing from now on", replica.id)
 		time.Sleep(3 * time.Second)
