ctrl: membership changes are logged with the voters and who was silent

The logs did not tell why the removed instance still counted: a promotion of a learner left no line, and a removal did not say which voters there were.

Now each proposed change gives the member, the term, the voters before it and those that did not answer; the gauge control_voters gives their number.

Leaders stay for 0.6 to 2.4 s, and each new leader counts the 3 s of silence from its own election.

--- a/ctrl/join.go
+++ b/ctrl/join.go
@@ -193,7 +193,8 @@
 	}
 	silentVoter := n.longestSilentVoter(st, now)
 	if id, ok := promotableLearner(st, n.openMembership && silentVoter != 0); ok {
-		_, out, _ := n.core.ProposeChange(raft.Promote{ID: id}, now)
+		_, out, err := n.core.ProposeChange(raft.Promote{ID: id}, now)
+		n.logChange(st, id, "learner becomes a voter", err)
 		return out
 	}
 	oldID, ok := replacedVoter(st)
@@ -204,14 +205,31 @@
 	}
 	if ok {
 		_, out, err := n.core.ProposeChange(raft.Remove{ID: oldID}, now)
-		if err == nil {
-			n.log.Info().Str("member", oldID.String()).Msg("lost identity removed")
-		}
+		n.logChange(st, oldID, "lost identity removed", err)
 		return out
 	}
 	return raft.Output{}
 }
 
+// logChange logs a membership change that was proposed, with the voters before it and those that
+// did not answer the leader then.
+func (n *Node) logChange(st raft.Status, id raft.ID, change string, err error) {
+	if err != nil {
+		n.log.Debug().Err(err).Str("member", id.String()).Str("change", change).Msg("membership change not proposed")
+		return
+	}
+	var voters, silent []string
+	for _, v := range st.Members.Voters() {
+		voters = append(voters, v.String())
+	}
+	for _, p := range st.Progress {
+		if !p.Member.Learner && !p.RecentlyActive {
+			silent = append(silent, p.Member.ID.String())
+		}
+	}
+	n.log.Info().Str("member", id.String()).Uint64("term", uint64(st.Term)).Strs("voters_before", voters).Strs("silent_voters", silent).Msg(change)
+}
+
 // replacedVoter returns a voter that is silent while another voter, which may be the leader, is
 // active at the same address.
 func replacedVoter(st raft.Status) (raft.ID, bool) {
--- a/host/duty.go
+++ b/host/duty.go
@@ -57,6 +57,7 @@
 	set("log_term", nil, float64(status.Term))
 	set("log_commit", nil, float64(status.Commit))
 	set("control_members", nil, float64(len(status.Members)))
+	set("control_voters", nil, float64(len(status.Members.Voters())))
 	set("config_version", nil, float64(stored.Version))
 	set("entries", nil, float64(c.entryCount()))
 	set("roster_revision", nil, float64(c.roster.Revision()))
