ctrl: a voter that is gone for good is removed while leaders change, and a lost disk before its successor votes

Cause: the log of control counted voters that no longer exist. Three things kept them in it: - Each new leader counted the 3 s of silence after which a voter may be removed from its own election on. With packet loss leaders stayed for 0.6 to 2.4 s, so a removed instance was never found silent. - Once the successor was the fourth voter, the removal of the old one was a step of its own, 0.5 s later at best. If the leader changed in between, the four voters waited for another 3 s of silence. - The ID of a lost disk was removed after its new ID had become a voter. If that disk was lost again, two of four voters were dead.

Change: what the leader knows about silent voters outlasts its leadership (10 s); a voter may be replaced after 1 s of silence; a silent one of an even number of voters is removed at once, which costs no tolerance; the next change follows as soon as the last one is committed; an ID whose address another member has taken over is removed before its successor votes. The decision is a pure function now (ctrl/membership.go).

The tests of before are kept as scripts (testmembers), with the whole sequence of changes and the voters that cannot be lost at each step. One expectation differs: a learner at the address of a silent voter was promoted first, and is now promoted after that voter is removed.

Same cause on related paths: a learner whose disk is lost again at its address is removed as well.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -101,17 +101,3 @@
 	}
 	return s.Term
 }
-
-// scheduleMembershipStep queues stepMembership as an event of its own, because a
-// duty cannot return an Output, at most once in joinInterval. The step is skipped
-// if the event queue is full.
-func (n *Node) scheduleMembershipStep(now time.Time) {
-	if now.Sub(n.lastMembershipStep) < joinInterval {
-		return
-	}
-	n.lastMembershipStep = now
-	select {
-	case n.events <- func(now time.Time) raft.Output { return n.stepMembership(now) }:
-	default:
-	}
-}
--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -34,6 +34,7 @@
 	memberID             raft.ID    // ID since the last start
 	stop                 func()
 	replacementUnchecked bool // its disk was lost and its new ID is not checked yet
+	values               *valueLedger
 }
 
 // cluster is a set of control members on an emulated network.
@@ -44,25 +45,32 @@
 	unavailable *member           // member that is stopped or isolated, nil if none
 	lostID      raft.ID           // ID of unavailable before its disk was lost
 	accepted    map[string]uint64 // version by ID of the accepted change
+	hosted      bool              // members may join, and the log is applied to values
+	root        string            // of the data directories
 }
 
 func newCluster(t *testing.T, n int) *cluster {
-	c := &cluster{t: t, net: emul.NewNetwork(), accepted: make(map[string]uint64)}
-	root := t.TempDir()
+	c := &cluster{t: t, net: emul.NewNetwork(), accepted: make(map[string]uint64), root: t.TempDir()}
 	t.Cleanup(c.close)
+	c.addMembers(n)
+	for _, m := range c.members {
+		c.start(m)
+	}
+	return c
+}
+
+// addMembers adds members that are not started yet.
+func (c *cluster) addMembers(n int) {
+	c.t.Helper()
 	addrs, err := emul.ReserveAddrs(emul.ProcessHost(), n)
 	if err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
 	}
-	for i, addr := range addrs {
-		name := fmt.Sprintf("control-%d", i+1)
-		c.members = append(c.members, &member{name: name, addr: addr, dataDir: filepath.Join(root, name)})
+	for _, addr := range addrs {
+		name := fmt.Sprintf("control-%d", len(c.members)+1)
+		c.members = append(c.members, &member{name: name, addr: addr, dataDir: filepath.Join(c.root, name)})
 		c.net.Register(addr, name, "zone-"+name)
 	}
-	for _, m := range c.members {
-		c.start(m)
-	}
-	return c
 }
 
 func (c *cluster) close() {
@@ -86,9 +94,14 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	node, err := ctrl.Open(m.dataDir, m.addr,
-		ctrl.WithName(m.name), ctrl.WithZone("zone-"+m.name), ctrl.WithInitialMembers(c.addrs()...),
-		ctrl.WithDial(ctrl.DialFunc(c.net.Dialer(m.name, "zone-"+m.name))))
+	opts := []ctrl.Option{
+		ctrl.WithName(m.name), ctrl.WithZone("zone-" + m.name), ctrl.WithInitialMembers(c.addrs()...),
+		ctrl.WithDial(ctrl.DialFunc(c.net.Dialer(m.name, "zone-"+m.name))),
+	}
+	if c.hosted {
+		opts = append(opts, c.hostedOptions(m)...)
+	}
+	node, err := ctrl.Open(m.dataDir, m.addr, opts...)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- /dev/null
+++ b/ctrl/membership_test.go
@@ -0,0 +1,163 @@
+package ctrl
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarackcross/raft"
+)
+
+// TestReplacedVoter guards against the ID of a lost disk that stays a voter, so that the loss of a
+// second disk, or of the same one again, leaves no majority.
+func TestReplacedVoter(t *testing.T) { runMembershipScript(t, "testmembers/replaced") }
+
+// TestPromotableLearner guards against an even number of voters, which has no majority when it is
+// split into halves, and against a spare learner that does not replace a lost voter.
+func TestPromotableLearner(t *testing.T) { runMembershipScript(t, "testmembers/learner") }
+
+// runMembershipScript applies all changes that are due to the members of each script. After each
+// step it prints the members, with "!" behind those that do not answer, and the voters that the log
+// cannot lose as well.
+func runMembershipScript(t *testing.T, path string) {
+	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+		var members []memberState
+		for _, line := range strings.Split(d.Input, "\n") {
+			members = append(members, parseMember(t, line))
+		}
+		var out strings.Builder
+		fmt.Fprintf(&out, "%s\n", describeMembers(members))
+		for range 10 {
+			change, _ := nextChange(members, d.HasArg("open"))
+			if change == nil {
+				return out.String()
+			}
+			members = applyChange(members, change)
+			fmt.Fprintf(&out, "%s: %s\n", describeChange(change), describeMembers(members))
+		}
+		return out.String() + "changes do not end\n"
+	})
+}
+
+// parseMember reads a member: ID, address and words on its state.
+func parseMember(t *testing.T, line string) memberState {
+	words := strings.Fields(line)
+	id, err := strconv.Atoi(words[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := memberState{Member: raft.Member{ID: raft.ID(id), Address: words[1]}, active: true}
+	for _, word := range words[2:] {
+		switch word {
+		case "learner":
+			m.Learner = true
+		case "behind":
+		case "caught-up":
+			m.caughtUp = true
+		default:
+			if m.silent, err = time.ParseDuration(strings.TrimPrefix(word, "silent=")); err != nil {
+				t.Fatal(err)
+			}
+			m.active = false
+		}
+	}
+	return m
+}
+
+func applyChange(members []memberState, c raft.Change) []memberState {
+	var out []memberState
+	for _, m := range members {
+		switch c := c.(type) {
+		case raft.Remove:
+			if m.ID == c.ID {
+				continue
+			}
+		case raft.Promote:
+			m.Learner = m.Learner && m.ID != c.ID
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func describeChange(c raft.Change) string {
+	switch c := c.(type) {
+	case raft.Remove:
+		return "remove " + c.ID.String()
+	case raft.Promote:
+		return "promote " + c.ID.String()
+	default:
+		return fmt.Sprintf("%T", c)
+	}
+}
+
+func describeMembers(members []memberState) string {
+	var voters, learners, fatal []string
+	for _, m := range members {
+		word := m.ID.String()
+		if !m.active {
+			word += "!"
+		}
+		if m.Learner {
+			learners = append(learners, word)
+			continue
+		}
+		voters = append(voters, word)
+		if m.active && !hasMajorityWithout(members, m.ID) {
+			fatal = append(fatal, word)
+		}
+	}
+	out := "voters " + strings.Join(voters, " ")
+	if len(learners) > 0 {
+		out += ", learners " + strings.Join(learners, " ")
+	}
+	if len(fatal) > 0 {
+		out += ", cannot lose " + strings.Join(fatal, " ")
+	}
+	return out
+}
+
+// hasMajorityWithout reports whether the active voters are a majority if one of them is lost.
+func hasMajorityWithout(members []memberState, lost raft.ID) bool {
+	voters := slices.DeleteFunc(slices.Clone(members), func(m memberState) bool { return m.Learner })
+	active := slices.DeleteFunc(slices.Clone(voters), func(m memberState) bool { return !m.active || m.ID == lost })
+	return len(active) > len(voters)/2
+}
+
+// TestSilenceOutlastsLeadership guards against a voter that is never found silent for long enough
+// because the leaders change.
+func TestSilenceOutlastsLeadership(t *testing.T) {
+	const self, other, silent raft.ID = 1, 2, 3
+	members := raft.Members{{ID: self, Address: "a"}, {ID: other, Address: "b"}, {ID: silent, Address: "c"}}
+	status := func(active, answered bool) raft.Status {
+		return raft.Status{ID: self, Role: raft.Leader, Members: members, Progress: []raft.Progress{
+			{Member: members[1], RecentlyActive: true, Answered: true},
+			{Member: members[2], RecentlyActive: active, Answered: answered},
+		}}
+	}
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	r := make(silenceRecord)
+	r.update(status(false, true), at(0))
+	r.update(status(false, true), at(500*time.Millisecond))
+	// Another member led meanwhile. A new leader counts every member as active at first.
+	r.update(status(true, false), at(1500*time.Millisecond))
+	r.update(status(false, false), at(1800*time.Millisecond))
+	if got, want := r.of(silent, at(1800*time.Millisecond)), 1800*time.Millisecond; got != want {
+		t.Errorf("silent for %s after a change of leaders, want %s", got, want)
+	}
+	r.update(status(true, true), at(2*time.Second))
+	if got := r.of(silent, at(2*time.Second)); got != 0 {
+		t.Errorf("silent for %s after it answered, want 0", got)
+	}
+	r.update(status(false, true), at(3*time.Second))
+	r.update(status(false, true), at(3*time.Second+silenceMemory))
+	if got := r.of(silent, at(3*time.Second+silenceMemory)); got != 0 {
+		t.Errorf("silent for %s by what was seen %s ago, want 0", got, silenceMemory)
+	}
+}
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -64,7 +64,7 @@
 	events    chan event
 	transport *transport
 
-	// The fields from here to silentSince are used by the loop alone.
+	// The fields from here to silence are used by the loop alone.
 	core                 *raft.Node
 	proposals            map[raft.Index]pendingProposal
 	pendingReads         map[uint64]chan raft.ReadResult
@@ -75,7 +75,8 @@
 	appliedIndex       raft.Index
 	duties             leaderDuties
 	lastMembershipStep time.Time
-	silentSince        map[raft.ID]time.Time // silent voters as the leader sees them
+	changeProposed     bool // a membership change that this member proposed may need another one after it
+	silence            silenceRecord
 
 	mu         sync.Mutex
 	status     raft.Status
@@ -130,8 +131,8 @@
 type membershipDuties struct{ n *Node }
 
 func (u membershipDuties) Tick(now time.Time)               { u.n.scheduleMembershipStep(now) }
-func (u membershipDuties) Reset()                           { clear(u.n.silentSince) }
-func (u membershipDuties) NextTick(now time.Time) time.Time { return now.Add(joinInterval) }
+func (u membershipDuties) Reset()                           {}
+func (u membershipDuties) NextTick(now time.Time) time.Time { return now.Add(membershipInterval) }
 
 // Open opens the data directory and starts the member. addr is the address at
 // which the other instances reach it.
@@ -144,7 +145,7 @@
 		newDuties:    newPromoter,
 		now:          time.Now,
 		mayBootstrap: true,
-		silentSince:  make(map[raft.ID]time.Time),
+		silence:      make(silenceRecord),
 		machine:      state.New(),
 		events:       make(chan event, eventQueueLen),
 		proposals:    make(map[raft.Index]pendingProposal),
--- a/raft/status.go
+++ b/raft/status.go
@@ -6,7 +6,8 @@
 type Progress struct {
 	Member         Member
 	MatchIndex     Index
-	RecentlyActive bool // heard from within the shortest election timeout
+	RecentlyActive bool // heard from within the shortest election timeout, or new to the leader
+	Answered       bool // it has answered this leader in the current term
 	CaughtUp       bool
 }
 
@@ -72,7 +73,7 @@
 		if p == nil {
 			continue
 		}
-		ps = append(ps, Progress{Member: m, MatchIndex: p.matchIndex, RecentlyActive: n.recentlyActive(m.ID, now), CaughtUp: n.caughtUp(m.ID, now)})
+		ps = append(ps, Progress{Member: m, MatchIndex: p.matchIndex, RecentlyActive: n.recentlyActive(m.ID, now), Answered: p.ackedRound > 0, CaughtUp: n.caughtUp(m.ID, now)})
 	}
 	return ps
 }
