ctrl, host: a planned stop of control hands the vote over

Cause: an instance that is told to stop kept its vote. It was found silent and replaced 3.5 to 4 s later (1.5 s since the previous commit), but the platform no longer counts it as lost from its end on, since its successor had been there for catch_up_s.

With silence alone shortened the loss after 1 s still comes before the replacement.

Change: on SIGTERM an instance asks the leader to give its vote to a learner, and stays until that is done, 2 s at most. Without a learner, as in an ordinary restart, nothing changes and nothing is waited for.

--- a/ctrl/join.go
+++ b/ctrl/join.go
@@ -81,7 +81,7 @@
 // leader has added it. With open membership it continues, because a member that
 // was silent may be removed at any time.
 func (n *Node) join() {
-	for n.ctx.Err() == nil {
+	for n.joining.Err() == nil {
 		st := n.Status()
 		_, member := st.Members.Find(n.Identity())
 		if member && !n.openMembership {
@@ -91,7 +91,7 @@
 			n.requestMembership()
 		}
 		select {
-		case <-n.ctx.Done():
+		case <-n.joining.Done():
 		case <-time.After(joinInterval):
 		}
 	}
@@ -101,7 +101,7 @@
 // removed while it was partitioned cannot learn of that from its own log.
 func (n *Node) requestMembership() {
 	for _, addr := range n.peerAddresses() {
-		if reply, err := n.hello(n.ctx, addr); err == nil {
+		if reply, err := n.hello(n.joining, addr); err == nil {
 			n.recordDiscovered(reply)
 		}
 	}
--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -24,6 +24,7 @@
 	active   bool          // it answered the leader recently, or is the leader
 	caughtUp bool          // a learner that has every committed entry
 	silent   time.Duration // how long it has not answered, for a voter
+	leaving  bool          // it announced its stop
 }
 
 // nextChange returns the membership change that is due, and why, or nil. Other members than the
@@ -39,12 +40,17 @@
 		return raft.Remove{ID: id}, "another member is active at its address"
 	}
 	voters := slices.DeleteFunc(slices.Clone(members), func(m memberState) bool { return m.Learner })
-	silent := longestSilent(voters)
-	if open && silent.ID != 0 && len(voters)%2 == 0 {
-		return raft.Remove{ID: silent.ID}, "it is silent, and an odd number of voters tolerates as many failures"
+	silent, leaving := longestSilent(voters), leavingVoter(voters)
+	if open && len(voters)%2 == 0 {
+		switch {
+		case silent.ID != 0:
+			return raft.Remove{ID: silent.ID}, "it is silent, and an odd number of voters tolerates as many failures"
+		case leaving != 0:
+			return raft.Remove{ID: leaving}, "it stops, and an odd number of voters tolerates as many failures"
+		}
 	}
-	replaceSilent := open && silent.silent >= silentVoterTimeout
-	if id := promotableLearner(members, len(voters), replaceSilent); id != 0 {
+	replace := open && (leaving != 0 || silent.silent >= silentVoterTimeout)
+	if id := promotableLearner(members, len(voters), replace); id != 0 {
 		return raft.Promote{ID: id}, "it has caught up and is needed as a voter"
 	}
 	return nil, ""
@@ -76,6 +82,15 @@
 	return longest
 }
 
+// leavingVoter returns a voter that announced its stop, or 0.
+func leavingVoter(voters []memberState) raft.ID {
+	i := slices.IndexFunc(voters, func(m memberState) bool { return m.leaving })
+	if i < 0 {
+		return 0
+	}
+	return voters[i].ID
+}
+
 // promotableLearner returns a learner that has caught up, if it is to become a voter, or 0. An even
 // number of voters tolerates no more failures than the odd number below it, and has no majority
 // when it is split into halves. So a learner stays a spare if it would make the number even,
@@ -83,7 +98,7 @@
 func promotableLearner(members []memberState, voters int, replace bool) raft.ID {
 	var caughtUp []raft.ID
 	for _, m := range members {
-		if m.Learner && m.caughtUp {
+		if m.Learner && m.caughtUp && !m.leaving {
 			caughtUp = append(caughtUp, m.ID)
 		}
 	}
@@ -141,11 +156,12 @@
 func (n *Node) memberStates(st raft.Status, now time.Time) []memberState {
 	out := make([]memberState, 0, len(st.Members))
 	if self, ok := st.Members.Find(st.ID); ok {
-		out = append(out, memberState{Member: self, active: true})
+		out = append(out, memberState{Member: self, active: true, leaving: n.isLeaving(self.ID, now)})
 	}
 	for _, p := range st.Progress {
 		out = append(out, memberState{
 			Member: p.Member, active: p.RecentlyActive, caughtUp: p.CaughtUp, silent: n.silence.of(p.Member.ID, now),
+			leaving: n.isLeaving(p.Member.ID, now),
 		})
 	}
 	return out
@@ -158,7 +174,7 @@
 	if st.Role != raft.Leader || !n.openMembership && !slices.Contains(n.initialAddresses(), addr) {
 		return raft.Output{}
 	}
-	if _, ok := st.Members.Find(id); ok {
+	if _, ok := st.Members.Find(id); ok || n.isLeaving(id, now) {
 		return raft.Output{}
 	}
 	_, out, err := n.core.ProposeChange(raft.AddLearner{ID: id, Address: addr}, now)
--- a/ctrl/membership_test.go
+++ b/ctrl/membership_test.go
@@ -21,6 +21,10 @@
 // split into halves, and against a spare learner that does not replace a lost voter.
 func TestPromotableLearner(t *testing.T) { runMembershipScript(t, "testmembers/learner") }
 
+// TestLeavingVoter guards against a voter that announced its stop and keeps its vote although a
+// learner can take it, and against fewer voters when none can.
+func TestLeavingVoter(t *testing.T) { runMembershipScript(t, "testmembers/leaving") }
+
 // runMembershipScript applies all changes that are due to the members of each script. After each
 // step it prints the members, with "!" behind those that do not answer, and the voters that the log
 // cannot lose as well.
@@ -59,6 +63,8 @@
 		case "behind":
 		case "caught-up":
 			m.caughtUp = true
+		case "leaving":
+			m.leaving = true
 		default:
 			if m.silent, err = time.ParseDuration(strings.TrimPrefix(word, "silent=")); err != nil {
 				t.Fatal(err)
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -64,7 +64,7 @@
 	events    chan event
 	transport *transport
 
-	// The fields from here to silence are used by the loop alone.
+	// The fields from here to leaving are used by the loop alone.
 	core                 *raft.Node
 	proposals            map[raft.Index]pendingProposal
 	pendingReads         map[uint64]chan raft.ReadResult
@@ -77,16 +77,19 @@
 	lastMembershipStep time.Time
 	changeProposed     bool // a membership change that this member proposed may need another one after it
 	silence            silenceRecord
+	leaving            map[raft.ID]time.Time // members that announced their stop, and until when that counts
 
 	mu         sync.Mutex
 	status     raft.Status
 	discovered raft.Members // members reported by others, for a member that joins
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     conc.WaitGroup
-	done   chan struct{} // closed at the end of the loop
-	err    error         // valid once done is closed
+	ctx         context.Context
+	cancel      context.CancelFunc
+	joining     context.Context // ends when this member no longer asks to be added
+	stopJoining context.CancelFunc
+	wg          conc.WaitGroup
+	done        chan struct{} // closed at the end of the loop
+	err         error         // valid once done is closed
 }
 
 // event is an input of the loop. It is called with the time at which it is handled.
@@ -146,6 +149,7 @@
 		now:          time.Now,
 		mayBootstrap: true,
 		silence:      make(silenceRecord),
+		leaving:      make(map[raft.ID]time.Time),
 		machine:      state.New(),
 		events:       make(chan event, eventQueueLen),
 		proposals:    make(map[raft.Index]pendingProposal),
@@ -161,6 +165,7 @@
 	}
 	n.store, n.id = st, st.Identity()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.joining, n.stopJoining = context.WithCancel(n.ctx)
 	n.transport = newTransport(n)
 	go func() {
 		defer close(n.done)
--- a/host/calls.go
+++ b/host/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackcross/mesh"
+	"tamarackcross/raft"
 )
 
 // meshHandler serves the calls of other instances.
@@ -40,6 +41,18 @@
 	return &mesh.GetReply{Known: true, Version: stored.Version, Body: stored.Body}, nil
 }
 
+// HandOver gives the vote of another instance away if this instance is the leader. Otherwise it
+// replies with the address of the leader.
+func (h meshHandler) HandOver(ctx context.Context, in *mesh.HandOverRequest) (*mesh.HandOverReply, error) {
+	if !h.c.isLeader() {
+		return &mesh.HandOverReply{Leader: h.c.leaderAddr()}, nil
+	}
+	if err := h.c.node.HandOver(ctx, raft.ID(in.Member)); err != nil {
+		return nil, err
+	}
+	return &mesh.HandOverReply{Done: true}, nil
+}
+
 // Fetch returns a part of an encoded version of the configuration.
 func (h meshHandler) Fetch(_ context.Context, in *mesh.FetchRequest) (*mesh.FetchReply, error) {
 	return h.c.Fetch(in)
--- a/host/control.go
+++ b/host/control.go
@@ -515,13 +515,42 @@
 	return body, err
 }
 
+// maxHandOver bounds how long a planned stop waits until another instance votes instead of this
+// one.
+const maxHandOver = 2 * time.Second
+
+// handOver gives the vote of this instance to one that only receives the log, if there is one. The
+// platform may have started it to replace this instance.
+func (c *Controller) handOver() {
+	c.node.StopJoining()
+	members, id := c.node.Status().Members, c.node.Identity()
+	if voters := len(members.Voters()); !members.IsVoter(id) || voters == len(members) && voters%2 == 1 {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), maxHandOver)
+	defer stop()
+	start := c.deps.Now()
+	err := c.atLeader(ctx,
+		func() error { return c.node.HandOver(ctx, id) },
+		func(client *mesh.Client) error {
+			reply, err := client.HandOver(ctx, &mesh.HandOverRequest{Member: uint64(id)})
+			if err == nil && !reply.Done {
+				err = ErrNoLeader
+			}
+			return err
+		})
+	c.deps.Log.Info().Err(err).Bool("votes", c.node.Status().Members.IsVoter(id)).
+		Int64("waited_ms", c.deps.Now().Sub(start).Milliseconds()).Msg("vote handed over before the stop, if another instance could take it")
+}
+
 // maxAnswerWait bounds how long a planned stop waits for the answers to requests of operators
 // and servers.
 const maxAnswerWait = time.Second
 
-// Shutdown accepts no further requests, answers those under way and stops the role. Whatever it
-// acknowledged is on disk already.
+// Shutdown gives the vote of this instance away, accepts no further requests, answers those under
+// way and stops the role. Whatever it acknowledged is on disk already.
 func (c *Controller) Shutdown() {
+	c.handOver()
 	ctx, stop := context.WithTimeout(context.Background(), maxAnswerWait)
 	defer stop()
 	if err := errors.Join(c.http.Shutdown(ctx), c.Close()); err != nil {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -196,6 +196,19 @@
 	Body    []byte
 }
 
+// HandOverRequest asks the leader to give the vote of a control instance that is about to stop to
+// another one.
+type HandOverRequest struct {
+	Member uint64 // ID of the instance as a member of the log
+}
+
+// HandOverReply tells whether the instance no longer votes, or cannot be replaced. If the receiver
+// is not the leader, Leader is the address of the leader, if known.
+type HandOverReply struct {
+	Done   bool
+	Leader string
+}
+
 // Handler serves the calls at a control instance.
 type Handler interface {
 	Sync(ctx context.Context, in *SyncRequest) (*SyncReply, error)
@@ -203,15 +216,17 @@
 	Get(ctx context.Context, in *GetRequest) (*GetReply, error)
 	Prove(ctx context.Context, in *ProveRequest) (*ProveReply, error)
 	Fetch(ctx context.Context, in *FetchRequest) (*FetchReply, error)
+	HandOver(ctx context.Context, in *HandOverRequest) (*HandOverReply, error)
 }
 
 // Names of the drpc methods.
 const (
-	callSync  = "/mesh.Control/Sync"
-	callPut   = "/mesh.Control/Put"
-	callGet   = "/mesh.Control/Get"
-	callProve = "/mesh.Control/Prove"
-	callFetch = "/mesh.Control/Fetch"
+	callSync     = "/mesh.Control/Sync"
+	callPut      = "/mesh.Control/Put"
+	callGet      = "/mesh.Control/Get"
+	callProve    = "/mesh.Control/Prove"
+	callFetch    = "/mesh.Control/Fetch"
+	callHandOver = "/mesh.Control/HandOver"
 )
 
 // Meter receives the size in bytes of a message as it is sent, and how long its encoding or
@@ -324,7 +339,7 @@
 type description struct{ encoding encoding }
 
 // NumMethods returns the number of methods.
-func (description) NumMethods() int { return 5 }
+func (description) NumMethods() int { return 6 }
 
 // Method describes the method with number n.
 func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -339,6 +354,8 @@
 		return callProve, d.encoding, receiver(Handler.Prove), Handler.Prove, true
 	case 4:
 		return callFetch, binaryEncoding{d.encoding}, receiver(Handler.Fetch), Handler.Fetch, true
+	case 5:
+		return callHandOver, d.encoding, receiver(Handler.HandOver), Handler.HandOver, true
 	default:
 		return "", nil, nil, nil, false
 	}
@@ -498,3 +515,8 @@
 func (c *Client) Fetch(ctx context.Context, in *FetchRequest) (*FetchReply, error) {
 	return call[FetchReply](ctx, c, callFetch, binaryEncoding{c.encoding}, in)
 }
+
+// HandOver asks the instance to give the vote of another one away.
+func (c *Client) HandOver(ctx context.Context, in *HandOverRequest) (*HandOverReply, error) {
+	return call[HandOverReply](ctx, c, callHandOver, c.encoding, in)
+}
