duty, host: the log tells on which positions a successor was chosen

The line on the choice named the member but not what it or the others had received, so that a wrong choice could not be told from commits that came after the question.

Evidence with it, from the case on a scratch copy that keeps its logs: the two replicas that answered both had received 3/477; the order went out 2 ms later and took effect after 1.0 s; the member that was promoted lacked 28 commits that the old primary had acknowledged in that second. The choice was right, and what it rests on did not hold until the promotion.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -8,6 +8,9 @@
 package duty
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"tamarackcross/group"
@@ -98,8 +101,9 @@
 	Depose struct{ ID string }
 	// Note is a message for the log that operators read.
 	Note struct {
-		Text   string
-		Member string
+		Text     string
+		Member   string
+		Statuses []Status // answers of the members that the decision rests on
 	}
 )
 
@@ -387,7 +391,12 @@
 	if s.planned {
 		return s.maybeStepDown(best, now)
 	}
-	return append(s.release(now), Note{Text: "member that received most is promoted", Member: s.target})
+	return append(s.release(now), Note{Text: "member that received most is promoted", Member: s.target, Statuses: s.sortedStatuses()})
+}
+
+// sortedStatuses returns the answers of the members in the order of their IDs.
+func (s *Supervisor) sortedStatuses() []Status {
+	return slices.SortedFunc(maps.Values(s.statuses), func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // replaceReachable replaces a primary that answers the control instance although
--- a/host/duty.go
+++ b/host/duty.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"tamarackcross/duty"
@@ -143,7 +144,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case duty.Note:
-			s.log.Warn().Str("service", service).Str("member", a.Member).Msg(a.Text)
+			s.logNote(service, a)
 		case duty.AskStatus:
 			s.runAction(service, func() duty.Event { return s.askStatus(ctx, service, a.ID) })
 		case duty.StepDown:
@@ -162,6 +163,31 @@
 	}
 }
 
+// logNote logs a decision with the answers of the members that it rests on.
+func (s *supervision) logNote(service string, n duty.Note) {
+	line := s.log.Warn().Str("service", service).Str("member", n.Member)
+	if len(n.Statuses) > 0 {
+		answers := zerolog.Dict()
+		for _, st := range n.Statuses {
+			answers.Str(st.ID, describeStatus(st))
+		}
+		line = line.Dict("answers", answers)
+	}
+	line.Msg(n.Text)
+}
+
+// describeStatus returns what a member answered, for the log.
+func describeStatus(st duty.Status) string {
+	switch {
+	case st.Err != nil:
+		return st.Err.Error()
+	case st.Primary:
+		return "primary, received " + st.Received.String()
+	default:
+		return "received " + st.Received.String()
+	}
+}
+
 // runAction runs an action in a goroutine and queues its outcome for the supervisor.
 func (s *supervision) runAction(service string, f func() duty.Event) {
 	s.wg.Go(func() {
