duty: replicas are paused before a successor is chosen where commits wait for them

Cause: the successor was chosen by what the replicas had received when they were asked. A promotion takes effect a second later, and until then the old primary acknowledges each commit that one replica receives. If the successor receives nothing in that second, these commits are lost.

Evidence: with the answers in the log: both replicas had received 3/477 at the question, the order went out 2 ms later, 28 commits after 477 were lost.

Change: all members but the old primary are paused (PAUSE) with a term above the newest, and their positions are taken from these answers. If one does not pause, nothing is promoted. A primary that does not answer STEPDOWN is replaced in the same way. Replicas are resumed once a primary works; the leader of control looks every 2 s for replicas that an earlier leader left paused, and finishes a replacement whose order may still be carried out. A resume is only sent while the leader is confirmed.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -19,8 +19,9 @@
 // Member is a backend server as the roster lists it.
 type Member struct {
 	ID       string
-	Primary  bool // it announces itself as the primary
-	Draining bool // it is about to stop
+	Born     int64 // identifies its start
+	Primary  bool  // it announces itself as the primary
+	Draining bool  // it is about to stop
 	// FailingInstances is the number of instances that have had no answer from it for at
 	// least FailureThreshold.
 	FailingInstances int
@@ -37,22 +38,24 @@
 		Members      []Member
 		Instances    int    // instances that probe the members
 		SyncReplicas int    // replicas that hold a commit when it is acknowledged
-		Appointed    string // member that the newest promotion order names, or empty
+		Ordered      string // member that the newest promotion order names, or empty
+		Appointed    string // the same where successions overlap, otherwise empty
 		// MayPromote and Reassert matter only where successions overlap. MayPromote means that
 		// no instance relies on the primary any more. Reassert means that an open order for
 		// another member may have been carried out, so that the appointed one must be promoted
 		// again.
 		MayPromote, Reassert bool
 	}
-	// Status is the outcome of AskStatus or StepDown. Err is set if the call failed.
-	// Busy is set as well if the member answered that it is overloaded.
+	// Status is the outcome of AskStatus, StepDown, Pause or Resume. Err is set if the call
+	// failed. Busy is set as well if the member answered that it is overloaded.
 	Status struct {
-		ID       string
-		Busy     bool
-		Primary  bool
-		Term     uint64
-		Received group.Position // newest position that the member holds
-		Err      error
+		ID         string
+		Busy       bool
+		Primary    bool
+		Term       uint64
+		PausedTerm uint64         // term for which it has stopped receiving; 0 if it receives
+		Received   group.Position // newest position that the member holds
+		Err        error
 	}
 	// TokenResult is the outcome of IssueToken.
 	TokenResult struct {
@@ -87,6 +90,14 @@
 		ID   string
 		Term uint64
 	}
+	// Pause makes a replica stop receiving until Resume or a promotion. Term must be above its
+	// own.
+	Pause struct {
+		ID   string
+		Term uint64
+	}
+	// Resume makes a paused replica receive again.
+	Resume struct{ ID string }
 	// IssueToken requests a fencing token from the control log.
 	IssueToken struct{ Target string }
 	// Promote sends the promotion order with its fencing token to the platform.
@@ -109,6 +120,8 @@
 
 func (AskStatus) action()  {}
 func (StepDown) action()   {}
+func (Pause) action()      {}
+func (Resume) action()     {}
 func (IssueToken) action() {}
 func (Promote) action()    {}
 func (Recall) action()     {}
@@ -158,6 +171,7 @@
 const (
 	watching         phase = iota // no replacement in progress
 	collectingStatus              // waiting for the status of all members
+	pausing                       // waiting until all replicas have stopped receiving
 	steppingDown                  // waiting for the old primary to step down
 	catchingUp                    // waiting for the successor to receive the required position
 	awaitingRelease               // waiting until no instance relies on the old primary any more
@@ -183,6 +197,7 @@
 	statusAskedAt    time.Time
 	stepDownAttempts int
 	overlap          overlap
+	pauses           pauses
 }
 
 // Option configures a Supervisor.
@@ -238,7 +253,11 @@
 		return s.checkPrimary(now)
 	case collectingStatus:
 		if now.Sub(s.phaseSince) >= statusTimeout || s.allAnswered() || s.othersAnswered(now) {
-			return s.chooseTarget(now)
+			return s.onAnswers(now)
+		}
+	case pausing:
+		if now.Sub(s.phaseSince) >= statusTimeout {
+			return s.onPaused(now)
 		}
 	case steppingDown:
 		if now.Sub(s.phaseSince) >= statusTimeout {
@@ -255,12 +274,16 @@
 			return []Action{AskStatus{ID: s.target}}
 		}
 	case awaitingRelease:
-		return s.awaitRelease(now)
+		return append(s.pauseNewcomers(), s.awaitRelease(now)...)
+	case issuingToken, promoting:
+		return s.pauseNewcomers()
 	case activating:
 		if m, ok := s.member(s.target); ok && m.Primary || now.Sub(s.phaseSince) >= activationTimeout {
 			s.enterPhase(watching, now)
 			s.notBefore = now.Add(retryDelay)
+			return nil
 		}
+		return s.pauseNewcomers()
 	}
 	return nil
 }
@@ -298,7 +321,7 @@
 			draining, announced = m.ID, true
 		default:
 			s.noPrimarySince, s.plannedSince = time.Time{}, time.Time{}
-			return nil
+			return s.keepReceiving(m.ID, now)
 		}
 	}
 	switch {
@@ -322,7 +345,11 @@
 	s.enterPhase(collectingStatus, now)
 	var out []Action
 	if !planned {
-		out = append(out, Note{Text: "primary does not answer, members are asked", Member: primary})
+		text := "primary does not answer, members are asked"
+		if m, listed := s.member(primary); listed && !s.failing(m) {
+			text = "replacement of the primary was interrupted, members are asked"
+		}
+		out = append(out, Note{Text: text, Member: primary})
 		out = append(out, s.recall()...)
 	}
 	for _, m := range s.view.Members {
@@ -347,10 +374,8 @@
 	return true
 }
 
-// chooseTarget chooses the member that received most as the successor. If commits
-// wait for replicas and the primary does not take part, every replica must have
-// answered: any of them may hold an acknowledged commit that the others lack.
-func (s *Supervisor) chooseTarget(now time.Time) []Action {
+// onAnswers goes on once the members have answered.
+func (s *Supervisor) onAnswers(now time.Time) []Action {
 	if old, ok := s.statuses[s.oldPrimary]; ok && !s.planned {
 		switch {
 		case old.Busy:
@@ -359,15 +384,40 @@
 			return s.replaceReachable(old, now)
 		}
 	}
-	best, found := Status{}, false
+	if s.synced() && !s.planned {
+		return s.pauseReplicas(now)
+	}
+	return s.chooseTarget(now)
+}
+
+// chooseTarget starts to make the successor the primary.
+func (s *Supervisor) chooseTarget(now time.Time) []Action {
+	best, found := s.successor()
+	if !found {
+		return s.retryLater(now)
+	}
+	s.target = s.preferAppointed(best)
+	if !s.overlap.enabled {
+		s.target = s.preferOrdered(best)
+	}
+	if s.planned {
+		return s.maybeStepDown(best, now)
+	}
+	return append(s.release(now), Note{Text: "member that received most is promoted", Member: s.target, Statuses: s.sortedStatuses()})
+}
+
+// successor returns the status of the member that received most. If commits wait for
+// replicas and the primary does not take part, every replica must have answered: any of
+// them may hold an acknowledged commit that the others lack.
+func (s *Supervisor) successor() (best Status, found bool) {
 	for _, m := range s.view.Members {
 		st, answered := s.statuses[m.ID]
 		if m.ID == s.oldPrimary {
 			continue
 		}
 		if !answered || st.Err != nil {
-			if s.view.SyncReplicas > 0 && !s.planned {
-				return s.retryLater(now)
+			if s.synced() && !s.planned {
+				return Status{}, false
 			}
 			continue
 		}
@@ -375,7 +425,7 @@
 			continue // a former primary, or one that is not known to be the present one
 		}
 		if st.Primary && !s.planned {
-			return s.retryLater(now) // another member is the primary already and will announce it
+			return Status{}, false // another member is the primary already and will announce it
 		}
 		if s.failing(m) || s.planned && m.Draining {
 			continue
@@ -384,14 +434,7 @@
 			best, found = st, true
 		}
 	}
-	if !found {
-		return s.retryLater(now)
-	}
-	s.target = s.preferAppointed(best)
-	if s.planned {
-		return s.maybeStepDown(best, now)
-	}
-	return append(s.release(now), Note{Text: "member that received most is promoted", Member: s.target, Statuses: s.sortedStatuses()})
+	return best, found
 }
 
 // sortedStatuses returns the answers of the members in the order of their IDs.
@@ -418,7 +461,7 @@
 		s.plannedSince = now
 	}
 	gap := old.Received.Offset - min(best.Received.Offset, old.Received.Offset)
-	if gap > maxStepDownGap && now.Sub(s.plannedSince) < maxStepDownDelay {
+	if gap > maxStepDownGap && len(s.pauses.replicas) == 0 && now.Sub(s.plannedSince) < maxStepDownDelay {
 		return s.retryLater(now)
 	}
 	return s.stepDown(now)
@@ -434,11 +477,17 @@
 }
 
 func (s *Supervisor) onStatus(st Status, now time.Time) []Action {
+	s.recordPause(st)
 	switch s.phase {
 	case collectingStatus:
 		s.statuses[st.ID] = st
 		if s.allAnswered() {
-			return s.chooseTarget(now)
+			return s.onAnswers(now)
+		}
+	case pausing:
+		s.statuses[st.ID] = st
+		if s.allPaused() {
+			return s.onPaused(now)
 		}
 	case steppingDown:
 		if st.ID == s.oldPrimary {
@@ -460,11 +509,15 @@
 		if s.stepDownAttempts < maxStepDownAttempts {
 			return s.stepDown(now)
 		}
+		if s.synced() {
+			s.planned = false
+			return append(s.recall(), s.pauseReplicas(now)...)
+		}
 		return append(s.recall(), s.release(now)...)
 	}
 	s.requiredPosition, s.statusAskedAt = st.Received, now
 	s.enterPhase(catchingUp, now)
-	return []Action{AskStatus{ID: s.target}}
+	return append(s.resumeReplicas(), AskStatus{ID: s.target})
 }
 
 func (s *Supervisor) issueToken(now time.Time) []Action {
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -73,6 +73,10 @@
 		return "ask " + a.ID
 	case duty.StepDown:
 		return fmt.Sprintf("step down %s below term %d", a.ID, a.Term)
+	case duty.Pause:
+		return fmt.Sprintf("pause %s for term %d", a.ID, a.Term)
+	case duty.Resume:
+		return "resume " + a.ID
 	case duty.IssueToken:
 		return "issue token for " + a.Target
 	case duty.Promote:
@@ -101,6 +105,9 @@
 	if d.HasArg("appointed") {
 		d.ScanArgs(t, "appointed", &view.Appointed)
 	}
+	if d.HasArg("ordered") {
+		d.ScanArgs(t, "ordered", &view.Ordered)
+	}
 	view.MayPromote, view.Reassert = d.HasArg("released"), d.HasArg("reassert")
 	for line := range strings.SplitSeq(d.Input, "\n") {
 		f := strings.Fields(line)
@@ -111,6 +118,8 @@
 				m.Primary = true
 			case word == "draining":
 				m.Draining = true
+			case strings.HasPrefix(word, "born="):
+				m.Born = int64(parseInt(t, strings.TrimPrefix(word, "born=")))
 			case strings.HasPrefix(word, "failing="):
 				m.FailingInstances = parseInt(t, strings.TrimPrefix(word, "failing="))
 			}
@@ -120,7 +129,7 @@
 	return view
 }
 
-// parseStatus reads "m1 primary term=2 received=2/17", "m1 busy" or "m1 silent".
+// parseStatus reads "m1 primary term=2 received=2/17 paused=3", "m1 busy" or "m1 silent".
 func parseStatus(t *testing.T, line string) duty.Status {
 	t.Helper()
 	f := strings.Fields(line)
@@ -136,6 +145,8 @@
 			st.Err = eris.New("no answer")
 		case "term":
 			st.Term = uint64(parseInt(t, value))
+		case "paused":
+			st.PausedTerm = uint64(parseInt(t, value))
 		case "received":
 			p, err := group.ParsePosition(value)
 			if err != nil {
--- a/duty/overlap.go
+++ b/duty/overlap.go
@@ -109,7 +109,7 @@
 		return append(out, s.issueToken(now)...)
 	case listed && m.Primary:
 		s.noPrimarySince, s.plannedSince = time.Time{}, time.Time{}
-		return out
+		return append(out, s.keepReceiving(m.ID, now)...)
 	case s.noPrimarySince.IsZero():
 		s.noPrimarySince = now
 	case now.Sub(s.noPrimarySince) >= reorderDelay:
--- a/host/duty.go
+++ b/host/duty.go
@@ -18,10 +18,15 @@
 	"tamarackcross/stats"
 )
 
-// MemberCalls calls backend servers. Both calls return the status of the member.
+// MemberCalls calls backend servers. All calls return the status of the member.
 type MemberCalls interface {
 	Status(ctx context.Context, t proxy.Target) (proxy.MemberStatus, error)
 	StepDown(ctx context.Context, t proxy.Target, term uint64) (proxy.MemberStatus, error)
+	// Pause makes a replica stop receiving if term is above its own.
+	Pause(ctx context.Context, t proxy.Target, term uint64) (proxy.MemberStatus, error)
+	// Resume makes a replica receive again. It calls maySend right before it sends the command,
+	// and returns ErrNotSent if that returns false.
+	Resume(ctx context.Context, t proxy.Target, maySend func() bool) (proxy.MemberStatus, error)
 }
 
 const (
@@ -126,13 +131,14 @@
 			s.services[name] = sup
 		}
 		view := duty.View{Instances: health.probing[name], SyncReplicas: cfg.SyncReplicas}
+		order, _ := s.c.ledger.PromotionOrder(name)
+		view.Ordered = order.Target
 		if s.c.giver != nil {
-			order, _ := s.c.ledger.PromotionOrder(name)
 			view.Appointed, view.MayPromote, view.Reassert = order.Target, s.c.giver.mayPromote(name, ""), s.c.giver.mustReassert(name)
 		}
 		for _, e := range s.c.roster.Members(name) {
 			view.Members = append(view.Members, duty.Member{
-				ID: e.ID, Primary: e.Primary, Draining: e.State == roster.Draining, FailingInstances: health.failing[memberKey{name, e.ID}],
+				ID: e.ID, Born: e.Born, Primary: e.Primary, Draining: e.State == roster.Draining, FailingInstances: health.failing[memberKey{name, e.ID}],
 			})
 		}
 		s.runActions(ctx, name, sup.Step(view, now))
@@ -149,6 +155,10 @@
 			s.runAction(service, func() duty.Event { return s.askStatus(ctx, service, a.ID) })
 		case duty.StepDown:
 			s.runAction(service, func() duty.Event { return s.stepDown(ctx, service, a) })
+		case duty.Pause:
+			s.runAction(service, func() duty.Event { return s.pause(ctx, service, a) })
+		case duty.Resume:
+			s.runAction(service, func() duty.Event { return s.resume(ctx, service, a.ID) })
 		case duty.IssueToken:
 			s.runAction(service, func() duty.Event { return s.issueToken(ctx, service, a.Target) })
 		case duty.Promote:
@@ -227,6 +237,23 @@
 	return statusEvent(a.ID, st, err)
 }
 
+func (s *supervision) pause(ctx context.Context, service string, a duty.Pause) duty.Event {
+	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
+	defer stop()
+	st, err := s.c.deps.Members.Pause(ctx, s.target(service, a.ID), a.Term)
+	s.log.Warn().Err(err).Str("service", service).Str("member", a.ID).Uint64("term", a.Term).Uint64("paused_term", st.PausedTerm).
+		Stringer("received", st.Received).Msg("replica was asked to stop receiving until a promotion")
+	return statusEvent(a.ID, st, err)
+}
+
+func (s *supervision) resume(ctx context.Context, service, id string) duty.Event {
+	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
+	defer stop()
+	st, err := s.c.deps.Members.Resume(ctx, s.target(service, id), s.whileLeading())
+	s.log.Warn().Err(err).Str("service", service).Str("member", id).Uint64("paused_term", st.PausedTerm).Msg("replica was asked to receive again")
+	return statusEvent(id, st, err)
+}
+
 // depose makes a member step down if it acts as the primary.
 func (s *supervision) depose(ctx context.Context, service, id string) {
 	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
@@ -242,7 +269,7 @@
 func statusEvent(id string, st proxy.MemberStatus, err error) duty.Event {
 	var f *proxy.Fault
 	busy := errors.As(err, &f) && f.Code == proxy.Busy
-	return duty.Status{ID: id, Busy: busy, Primary: st.Primary, Term: st.Term, Received: st.Received, Err: err}
+	return duty.Status{ID: id, Busy: busy, Primary: st.Primary, Term: st.Term, PausedTerm: st.PausedTerm, Received: st.Received, Err: err}
 }
 
 // issueToken commits a promotion order, whose log index is the fencing token. Only the leader
@@ -283,17 +310,23 @@
 // other member of control is elected sooner after it.
 const leaderValidity = raft.DefaultElectionTimeoutMin
 
+// whileLeading returns a function that reports whether this instance still leads in the present
+// term. An instance that was frozen must not send what it decided before.
+func (s *supervision) whileLeading() func() bool {
+	term := s.c.node.Status().Term
+	return func() bool {
+		st := s.c.node.Status()
+		return st.Role == raft.Leader && st.Term == term && s.c.deps.Now().Sub(st.ConfirmedAt) < leaderValidity
+	}
+}
+
 // promote sends a promotion order to the platform.
 func (s *supervision) promote(ctx context.Context, service string, a duty.Promote) duty.Event {
 	ctx, stop := context.WithTimeout(ctx, promoteTimeout)
 	defer stop()
-	sentAt, term := s.c.deps.Now(), s.c.node.Status().Term
+	sentAt := s.c.deps.Now()
 	err := s.c.deps.Promoter.Promote(ctx, PromotionOrder{
-		Service: service, Target: a.Target, DutyHolder: s.c.settings.Name, Token: a.Token,
-		MaySend: func() bool {
-			st := s.c.node.Status()
-			return st.Role == raft.Leader && st.Term == term && s.c.deps.Now().Sub(st.ConfirmedAt) < leaderValidity
-		},
+		Service: service, Target: a.Target, DutyHolder: s.c.settings.Name, Token: a.Token, MaySend: s.whileLeading(),
 	})
 	if s.c.giver != nil {
 		s.closeOrders(ctx, service, s.c.giver.recordOutcome(service, a.Token, sentAt, err))
--- a/host/host.go
+++ b/host/host.go
@@ -70,8 +70,8 @@
 	// ErrOutdated means that the platform rejected a promotion order because of its token or
 	// its target.
 	ErrOutdated = eris.New("the platform rejected the promotion order as outdated")
-	// ErrNotSent means that a promotion order was not sent.
-	ErrNotSent = eris.New("the promotion order was not sent")
+	// ErrNotSent means that a promotion order, or a command to a backend server, was not sent.
+	ErrNotSent = eris.New("the order was not sent")
 	// ErrNoLeader means that no control leader was reached. For a proof of primary it means
 	// that no control instance has answered lately.
 	ErrNoLeader = eris.New("no control leader could be reached")
--- a/proxy/codec.go
+++ b/proxy/codec.go
@@ -100,6 +100,11 @@
 	ReadStatus struct{}
 	// StepDown makes a primary of a term below Term a replica.
 	StepDown struct{ Term uint64 }
+	// PauseReplica makes a replica of a term below Term stop receiving until ResumeReplica, a
+	// promotion or its restart.
+	PauseReplica struct{ Term uint64 }
+	// ResumeReplica makes a paused replica receive again.
+	ResumeReplica struct{}
 )
 
 func (Run) command()              {}
@@ -111,11 +116,14 @@
 func (Reset) command()            {}
 func (ReadStatus) command()       {}
 func (StepDown) command()         {}
+func (PauseReplica) command()     {}
+func (ResumeReplica) command()    {}
 
 // MemberStatus is the role and the log position that a backend server reports.
 type MemberStatus struct {
-	Primary  bool
-	Term     uint64
-	Received group.Position // newest position that the server has received
-	Lag      time.Duration
+	Primary    bool
+	Term       uint64
+	PausedTerm uint64         // term for which it has stopped receiving; 0 if it receives
+	Received   group.Position // newest position that the server has received
+	Lag        time.Duration
 }
