--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -46,6 +47,8 @@
 	lostID      raft.ID           // ID of unavailable before its disk was lost
 	accepted    map[string]uint64 // version by ID of the accepted change
 	hosted      bool              // members may join, and the log is applied to values
+	newest      bool              // only the newest value is kept
+	bytesTo     sync.Map          // *atomic.Int64 with the bytes sent to a member, by its address
 	root        string            // of the data directories
 }
 
@@ -96,7 +99,7 @@
 	}
 	opts := []ctrl.Option{
 		ctrl.WithName(m.name), ctrl.WithZone("zone-" + m.name), ctrl.WithInitialMembers(c.addrs()...),
-		ctrl.WithDial(ctrl.DialFunc(c.net.Dialer(m.name, "zone-"+m.name))),
+		ctrl.WithDial(c.countingDialer(ctrl.DialFunc(c.net.Dialer(m.name, "zone-"+m.name)))),
 	}
 	if c.hosted {
 		opts = append(opts, c.hostedOptions(m)...)
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -24,13 +24,17 @@
 type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
 
 const (
-	eventQueueLen   = 1024      // capacity of the event queue
-	maxBatchEvents  = 64        // events that share one sync to disk
-	snapshotEntries = 4096      // entries applied between two snapshots, at most
-	snapshotBytes   = 8 << 20   // of these entries, at most
-	maxSleep        = time.Hour // time between two wake-ups if nothing is due
-	proposeTimeout  = 3 * time.Second
-	helloInterval   = 100 * time.Millisecond
+	eventQueueLen   = 1024 // capacity of the event queue
+	maxBatchEvents  = 64   // events that share one sync to disk
+	snapshotEntries = 4096 // entries applied between two snapshots, at most
+	// A snapshot is taken once the entries since the last one are snapshotRatio times as large as
+	// that one, within limits in bytes. A new member receives the snapshot and these entries.
+	snapshotRatio    = 4
+	minSnapshotBytes = 512 << 10
+	maxSnapshotBytes = 8 << 20
+	maxSleep         = time.Hour // time between two wake-ups if nothing is due
+	proposeTimeout   = 3 * time.Second
+	helloInterval    = 100 * time.Millisecond
 )
 
 // Errors of the control role. ErrNotLeader proves that a command was not accepted.
@@ -71,6 +75,7 @@
 	lastReadID           uint64
 	appliedSinceSnapshot uint64 // entries applied since the last snapshot
 	bytesSinceSnapshot   int    // of these entries
+	snapshotSize         int    // of the last snapshot, in bytes
 	// appliedIndex is the index of the newest entry applied to the state.
 	appliedIndex       raft.Index
 	duties             leaderDuties
@@ -237,7 +242,7 @@
 
 // restoreSnapshot replaces the state by the content of a snapshot.
 func (n *Node) restoreSnapshot(snap raft.Snapshot) error {
-	n.appliedIndex = snap.Index
+	n.appliedIndex, n.snapshotSize = snap.Index, len(snap.Data)
 	if n.ledger != nil {
 		return eris.Wrap(n.ledger.Restore(snap.Data), "snapshot")
 	}
@@ -395,9 +400,10 @@
 	}
 }
 
-// compact takes a snapshot after every snapshotEntries entries or snapshotBytes bytes.
+// compact takes a snapshot if enough entries were applied since the last one.
 func (n *Node) compact(now time.Time) error {
-	if n.appliedSinceSnapshot < snapshotEntries && n.bytesSinceSnapshot < snapshotBytes {
+	enough := min(max(snapshotRatio*n.snapshotSize, minSnapshotBytes), maxSnapshotBytes)
+	if n.appliedSinceSnapshot < snapshotEntries && n.bytesSinceSnapshot < enough {
 		return nil
 	}
 	n.appliedSinceSnapshot, n.bytesSinceSnapshot = 0, 0
@@ -407,6 +413,7 @@
 	} else {
 		index, data = raft.Index(n.machine.Applied().Index), n.machine.Snapshot()
 	}
+	n.snapshotSize = len(data)
 	out, err := n.core.Compact(index, data, now)
 	if err != nil {
 		n.log.Warn().Err(err).Msg("control log was not compacted: the snapshot was rejected")
--- a/ctrl/removed_test.go
+++ b/ctrl/removed_test.go
@@ -49,7 +49,7 @@
 func (c *cluster) hostedOptions(m *member) []ctrl.Option {
 	i := slices.Index(c.members, m)
 	first := m.values == nil
-	m.values = &valueLedger{}
+	m.values = &valueLedger{newest: c.newest}
 	opts := []ctrl.Option{ctrl.WithLedger(m.values), ctrl.WithOpenMembership(), ctrl.WithInitialMembers(c.addrs()[:initialHosted]...)}
 	if i >= initialHosted || !first {
 		opts = append(opts, ctrl.WithoutBootstrap())
@@ -59,6 +59,7 @@
 
 // valueLedger lists the values that were stored.
 type valueLedger struct {
+	newest bool // only the newest value is kept
 	mu     sync.Mutex
 	values []string
 }
@@ -66,6 +67,9 @@
 func (l *valueLedger) Apply(_ uint64, command []byte) any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.newest {
+		l.values = nil
+	}
 	l.values = append(l.values, string(command))
 	return nil
 }
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -196,7 +196,7 @@
 
 func (n *Node) sendAppend(id ID, p *peer) {
 	prev, ok := n.log.term(p.nextIndex - 1)
-	if !ok {
+	if !ok || n.snapshotIsShorter(p.nextIndex) {
 		n.startSnapshotTransfer(id, p)
 		return
 	}
--- a/raft/snapshot.go
+++ b/raft/snapshot.go
@@ -39,13 +39,19 @@
 }
 
 // startSnapshotTransfer starts sending the snapshot to a member that needs
-// entries which are no longer in the log.
+// entries which are no longer in the log, or more bytes of them.
 func (n *Node) startSnapshotTransfer(id ID, p *peer) {
 	p.transfer = &snapshotTransfer{snap: n.snap}
 	p.inflight = nil
 	n.sendChunk(id, p)
 }
 
+// snapshotIsShorter reports whether the snapshot is shorter than the entries from index from on
+// that it covers. A member that has lost its disk then needs less time to catch up.
+func (n *Node) snapshotIsShorter(from Index) bool {
+	return from <= n.snap.Index && sizeInLog(n.log.between(from-1, n.snap.Index)) > len(n.snap.Data)
+}
+
 func (n *Node) sendChunk(id ID, p *peer) {
 	t := p.transfer
 	end := min(t.offset+n.cfg.maxBatchBytes, len(t.snap.Data))
