host: a version that an entry has is not announced to it again

What callers saw: on a link on which answers wait for 2 s, a change of the configuration could take more than the 4 s allowed to be in force at an entry.

Cause: a control instance compared its version only with the one that it had announced to the entry before. An entry that obtained the version from another control instance therefore got an answer at once that said nothing new. A change stored in that moment could be announced only with the next call, and two answers one after the other take 4 s on such a link.

Change: the control instance compares with the version that the entry has too.

Result: TestHeldVersionIsNotAnnounced fails before (answered after 1.6 us instead of 300 ms) and passes after.

--- a/host/config_link_test.go
+++ b/host/config_link_test.go
@@ -321,6 +321,28 @@
 	waitForVersion(t, e, 2)
 }
 
+// TestHeldVersionIsNotAnnounced guards against a control instance that answers an entry at once to
+// announce a version that the entry already has. A change that is stored next then waits on a busy
+// link behind that answer.
+func TestHeldVersionIsNotAnnounced(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	g := startControlGroup(t, 1)
+	g.put(testDocument{Version: 1, Routes: randomRoutes(70)})
+	first, err := g.all[0].Sync(t.Context(), &mesh.SyncRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := clock.Now()
+	if _, err := g.all[0].Sync(t.Context(), &mesh.SyncRequest{
+		Incarnation: first.Incarnation, RosterRevision: first.RosterRevision, ConfigHeld: 1, Wait: wait,
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if held := clock.Now().Sub(start); held < wait {
+		t.Errorf("the call of an entry that has version 1 was answered after %v, want %v", held, wait)
+	}
+}
+
 // TestConfigFromSilentControl guards against an entry that waits for one control instance after
 // the other when all but one of them have stopped to answer its calls for the configuration.
 func TestConfigFromSilentControl(t *testing.T) {
--- a/host/control.go
+++ b/host/control.go
@@ -262,7 +262,7 @@
 			}
 		}
 		leasesDiffer, leasesChanged := leases.differ()
-		if len(entries) > 0 || stored.Version > in.ConfigVersion || in.Incarnation != c.incarnation || leasesDiffer {
+		if len(entries) > 0 || stored.Version > max(in.ConfigVersion, in.ConfigHeld) || in.Incarnation != c.incarnation || leasesDiffer {
 			reply.Config, reply.Lease = c.inlineConfig(in, stored), leases.grant()
 			return reply, nil
 		}
