proxy: the permit of a connection moves with its holder

What callers saw: an entry on several cores counted connections to a primary as in use although none was.

Cause: the permit was a field of the pooled connection. put made the connection available to others before it read the permit. A session that borrowed it in between had stored its own permit there.

Change: borrow returns a borrowedConn, which has the connection and the permit of this loan; put takes it. The pool has connections without permits.

--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -29,12 +29,16 @@
 	}
 }
 
-// permit is the right to hold one connection or slot. It is returned with release.
+// permit is the right to hold one connection or slot. Its holder returns it with release, which
+// has an effect only once.
 type permit struct {
+	queue *admissionQueue
 	id    uint64
 	start time.Time
 }
 
+func (p permit) release() { p.queue.release(p) }
+
 // usage returns how many permits are in use, and whether a further request would wait.
 func (l *admissionQueue) usage() (inUse int, full bool) {
 	l.mu.Lock()
@@ -70,7 +74,7 @@
 		case d := <-ch:
 			switch d := d.(type) {
 			case admit.Start:
-				return permit{id: id, start: l.now()}, nil
+				return permit{queue: l, id: id, start: l.now()}, nil
 			case admit.Refuse:
 				return permit{}, errs.New(errs.NotRun, d.Reason, "the admission queue of the backend server rejected the request", errs.WithRetryAfter(d.RetryAfter))
 			}
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -35,13 +35,19 @@
 type backendConn struct {
 	Conn
 	member   *member
-	permit   permit
 	values   map[string]string
 	prepared map[string]PreparedStatement
 	lastUsed time.Time
 	dirty    bool // the session state may differ from values and prepared
 }
 
+// borrowedConn is a connection with the permit of the request or transaction that uses it. Each loan
+// has its own, so that the permit stays with its holder whoever uses the connection next.
+type borrowedConn struct {
+	*backendConn
+	permit permit
+}
+
 // member is one incarnation of a backend server: a restart gives a new member.
 type member struct {
 	dialer         Dialer
@@ -105,23 +111,21 @@
 }
 
 // borrow waits for admission and returns an idle or a new connection.
-func (m *member) borrow(ctx context.Context, a admissionRequest) (*backendConn, error) {
+func (m *member) borrow(ctx context.Context, a admissionRequest) (*borrowedConn, error) {
 	m.adaptQuota()
 	permit, err := m.connQueue.acquire(ctx, a)
 	if err != nil {
 		return nil, err
 	}
 	if c := m.takeIdle(); c != nil {
-		c.permit = permit
-		return c, nil
+		return &borrowedConn{c, permit}, nil
 	}
 	c, err := m.dial(ctx)
 	if err != nil {
-		m.connQueue.release(permit)
+		permit.release()
 		return nil, err
 	}
-	c.permit = permit
-	return c, nil
+	return &borrowedConn{c, permit}, nil
 }
 
 // maxShareFactor bounds the connections of one instance to a server, as a multiple of
@@ -218,20 +222,21 @@
 	return &backendConn{Conn: conn, member: m, values: map[string]string{}, prepared: map[string]PreparedStatement{}}, nil
 }
 
-// put returns a connection to the pool. One whose state is unknown is closed.
-func (m *member) put(c *backendConn, clean bool) {
+// put returns a connection to the pool, and its permit. A connection whose state is unknown is
+// closed. The caller must not use it any more: another session may have borrowed it.
+func (m *member) put(c *borrowedConn, clean bool) {
 	now := m.now()
 	c.lastUsed = now
 	m.mu.Lock()
 	keep := clean && m.ctx.Err() == nil
 	if keep {
-		m.idle = append(m.idle, c)
+		m.idle = append(m.idle, c.backendConn)
 	}
 	m.mu.Unlock()
 	if !keep {
 		_ = c.Close()
 	}
-	m.connQueue.release(c.permit)
+	c.permit.release()
 }
 
 // closeExpired closes connections that have reached their idle timeout.
@@ -290,7 +295,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer m.statementQueue.release(permit)
+	defer permit.release()
 	if w.needsLease {
 		if err := w.requireLease(m); err != nil {
 			return nil, err
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -106,7 +106,7 @@
 
 // sessionSetup returns the commands that give a connection the values and the prepared
 // statement of the session, and records their effect on it.
-func (w *operation) sessionSetup(c *backendConn) []Command {
+func (w *operation) sessionSetup(c *borrowedConn) []Command {
 	var cmds []Command
 	reset := c.dirty
 	for name := range c.values {
@@ -145,7 +145,7 @@
 
 // setUpSession applies the session state to a connection in a step of its own, before
 // a statement that must not run twice.
-func (w *operation) setUpSession(c *backendConn) error {
+func (w *operation) setUpSession(c *borrowedConn) error {
 	cmds := w.sessionSetup(c)
 	if len(cmds) == 0 {
 		return nil
@@ -353,13 +353,13 @@
 
 // borrow borrows a connection to the member. The session gives it back if the operation ends
 // without doing so.
-func (w *operation) borrow(ctx context.Context, m *member) (*backendConn, error) {
+func (w *operation) borrow(ctx context.Context, m *member) (*borrowedConn, error) {
 	c, err := m.borrow(ctx, w.admissionRequest(0))
 	w.session.borrowed = c
 	return c, err
 }
 
-func (w *operation) put(c *backendConn, clean bool) {
+func (w *operation) put(c *borrowedConn, clean bool) {
 	w.session.borrowed = nil
 	c.member.put(c, clean)
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -31,8 +31,8 @@
 	prepared    map[string]PreparedStatement
 	lastCommits map[string]timedPosition // newest commit of the session, by service
 	tx          *transaction
-	failed      bool         // the transaction failed and only its end is accepted
-	borrowed    *backendConn // for the current request, outside a transaction
+	failed      bool          // the transaction failed and only its end is accepted
+	borrowed    *borrowedConn // for the current request, outside a transaction
 
 	forwardedRoute   *config.Route // route of the current request, if another instance forwarded it
 	forwardedElapsed time.Duration // from the arrival at that instance until the request came here
@@ -50,7 +50,7 @@
 	readOnly      bool
 	route         config.Route
 	svc           *service
-	conn          *backendConn
+	conn          *borrowedConn
 	holderLink    *borrowedLink // set instead of conn if a holder runs the transaction
 	wrote         bool
 	valuesChanged bool
