entry: settings of a connection count as unknown after a statement that may change them

Cause: sendVars, endTx and the handling of RESET each decided what the settings of a connection were. RESET recorded nothing, so the entry went on to believe that the values were set.

Change: connSettings is what is known of a connection. It is known after the SET statements of the entry have succeeded. Each request with SET, RESET or DISCARD ALL makes it unknown, and the next request sets the values again.

--- a/entry/backend.go
+++ b/entry/backend.go
@@ -33,7 +33,7 @@
 	pid      uint32
 	secret   []byte
 	prepared map[string]struct{} // names of the statements prepared on it
-	varsSQL  string              // SET statements last applied to it
+	settings connSettings        // of the session that used it last
 	opened   time.Time
 	used     time.Time
 	// tainted is set when the state of the connection is uncertain or differs from
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -21,9 +22,10 @@
 // expectedAnswer is an answer that an execution still expects, in order, from the
 // backend server.
 type expectedAnswer struct {
-	kind answerKind
-	msg  *message
-	stmt *prepared // statement prepared by a Parse that the caller did not send
+	kind   answerKind
+	msg    *message
+	stmt   *prepared // statement prepared by a Parse that the caller did not send
+	setSQL *string   // SET statements that are in effect after an answer without error, or nil
 }
 
 type answerKind int
@@ -78,6 +80,7 @@
 // run sends the request and relays its answer. The error is nil when a complete
 // answer was received, even if that is an error response.
 func (x *execution) run(ctx context.Context) error {
+	defer x.recordSettings()
 	x.primaryAtStart = x.conn.member.isPrimary()
 	x.startedAt = time.Now()
 	if err := x.sendAll(); err != nil {
@@ -135,14 +138,22 @@
 // others.
 func (x *execution) sendVars() error {
 	want := x.session.vars.setSQL
-	if x.conn.varsSQL == want || x.session.tx != nil {
+	if x.session.tx != nil || x.conn.settings.are(want) {
 		return nil
 	}
-	x.expected = append(x.expected, expectedAnswer{kind: answerHidden})
-	x.conn.varsSQL = want
+	x.conn.settings.forget()
+	x.expected = append(x.expected, expectedAnswer{kind: answerHidden, setSQL: &want})
 	return x.conn.wire.Send(&pgproto3.Query{String: "RESET ALL;" + want})
 }
 
+// recordSettings records that the request may have changed the settings of the connection, whether
+// it succeeded or not: a part of it may have been committed, or rolled back.
+func (x *execution) recordSettings() {
+	if slices.ContainsFunc(x.req.stmts, changesSettings) {
+		x.conn.settings.forget()
+	}
+}
+
 func (x *execution) sendBatch() error {
 	for i := range x.req.msgs {
 		if err := x.sendMessage(&x.req.msgs[i]); err != nil {
@@ -385,6 +396,9 @@
 		return errs.New(x.outcomeIfLost(), errs.ReasonProtocol, "backend server sent a malformed message")
 	}
 	x.expected = x.expected[1:]
+	if head.setSQL != nil && x.hiddenError == nil {
+		x.conn.settings.set(*head.setSQL)
+	}
 	if head.kind == answerHidden && !x.preambleOnly {
 		return nil
 	}
--- a/entry/tx.go
+++ b/entry/tx.go
@@ -56,7 +56,6 @@
 	if tx.pins || x.req.pins {
 		tx.conn.tainted = true
 	}
-	tx.conn.varsSQL = c.vars.setSQL
 	tx.conn.member.put(tx.conn)
 }
 
--- a/entry/vars.go
+++ b/entry/vars.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"tamarackcross/errs"
+	"tamarackcross/shape"
 )
 
 // Limits of the backend settings of a session.
@@ -77,6 +78,28 @@
 	return b.String()
 }
 
+// connSettings is what is known of the settings of a backend connection. The zero value is that of
+// a new connection.
+type connSettings struct {
+	setSQL  string // SET statements in effect
+	unknown bool   // a statement may have changed them since
+}
+
+// are reports whether exactly the values of the SET statements are known to be in effect.
+func (s *connSettings) are(setSQL string) bool { return !s.unknown && s.setSQL == setSQL }
+
+// set records that exactly the values of the SET statements are in effect.
+func (s *connSettings) set(setSQL string) { *s = connSettings{setSQL: setSQL} }
+
+// forget records that the settings may have changed.
+func (s *connSettings) forget() { s.unknown = true }
+
+// changesSettings reports whether a statement may change the settings of the connection that it
+// runs on beyond its transaction.
+func changesSettings(st shape.Statement) bool {
+	return isDiscardAll(st) || st.Kind() == shape.Set && !st.Local() && !st.IsProxySetting()
+}
+
 func isIdentifier(name string) bool {
 	if name == "" || len(name) > 128 {
 		return false
