store: what was read at the start is synced before it is used

Seen in the review by reading. A process that was killed between the write and the sync of a record found the record at its next start and took it for durable, without a sync. A failure of the machine could then take back a vote or an entry that had been acknowledged.

Evidence: TestOpenedStateIsDurable restarts the store on a disk that keeps what was written, and then crashes the disk.

Change: Open syncs the newest segment and the directory. Older segments were synced before the next began.

--- a/store/files_test.go
+++ b/store/files_test.go
@@ -66,6 +66,9 @@
 	m.opsUntilFailure, m.failed = -1, false
 }
 
+// restart ends the process and loses nothing, neither does it sync anything.
+func (m *memoryFiles) restart() { m.opsUntilFailure, m.failed = -1, false }
+
 func (m *memoryFiles) Lock() (io.Closer, error) { return io.NopCloser(nil), nil }
 
 func (m *memoryFiles) List() ([]string, error) {
--- a/store/open.go
+++ b/store/open.go
@@ -241,6 +241,13 @@
 		return eris.Wrap(err, "store: open the newest segment")
 	}
 	s.active = f
+	// A process that was killed may have written what was read, but not synced it.
+	if err := f.Sync(); err != nil {
+		return eris.Wrap(err, "store: sync the newest segment")
+	}
+	if err := s.files.SyncDir(); err != nil {
+		return eris.Wrap(err, "store: sync the data directory")
+	}
 	if snapshotRecord == nil {
 		return nil
 	}
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -132,6 +132,32 @@
 	}
 }
 
+// TestOpenedStateIsDurable guards against a member that was killed between the write and the sync of a
+// record, takes the record for durable after its start, and loses it when the machine fails.
+func TestOpenedStateIsDurable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		disk := newMemoryFiles(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)))
+		s, state, err := store.Open("", store.WithFiles(disk), store.WithSegmentBytes(300))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range savesPerSchedule {
+			disk.opsUntilFailure = rapid.IntRange(-1, 10).Draw(t, "left")
+			p := randomPersist(t, state)
+			if err := s.Save(p); err == nil {
+				state = expectedState(state, p)
+				continue
+			}
+			disk.restart()
+			_, found, err := store.Open("", store.WithFiles(disk), store.WithSegmentBytes(300))
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, state = crashAndReopen(t, disk, []raft.PersistentState{found})
+		}
+	})
+}
+
 // TestDamageDetection guards against taking damage for a torn write and a torn
 // write for damage, on files of the operating system.
 func TestDamageDetection(t *testing.T) {
