roster: a leave counts at instances that have the same sequence number

Leave keeps the sequence number of the last announcement, and an instance that had this number ignored the entry of a server that was gone. It stayed listed there.

Evidence: TestLeaveReachesOthers failed before: the server is still listed at the other table.

Change: two entries of one start are merged: the newer announcement, with the higher of the two states. Which one was heard first does not matter.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -45,12 +45,21 @@
 // Incarnation returns the start that the entry describes.
 func (e Entry) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
 
-// newerThan reports whether the server announced e after old.
-func (e Entry) newerThan(old Entry) bool {
-	if e.Born != old.Born {
-		return e.Born > old.Born
+// merge returns what is known of a server after other was heard too. The order in which the two
+// were heard does not matter.
+func (e Entry) merge(other Entry) Entry {
+	switch {
+	case e.Born > other.Born:
+		return e
+	case e.Born < other.Born:
+		return other
 	}
-	return e.Seq > old.Seq
+	merged := e
+	if other.Seq > e.Seq {
+		merged = other
+	}
+	merged.State = max(e.State, other.State)
+	return merged
 }
 
 // equalIgnoringSeq reports whether two entries differ in Seq at most.
@@ -110,12 +119,9 @@
 		t.markChanged(t.rows[e.ID])
 		return true
 	}
-	if !e.newerThan(r.entry) {
+	if e = r.entry.merge(e); e == r.entry {
 		return false
 	}
-	if e.Born == r.entry.Born {
-		e.State = max(e.State, r.entry.State)
-	}
 	if !t.claimAddress(&e) {
 		return false
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -99,6 +99,23 @@
 	return out
 }
 
+// TestLeaveReachesOthers guards against a server that has left but stays listed at the other
+// instances, because its entry has the sequence number of its last announcement.
+func TestLeaveReachesOthers(t *testing.T) {
+	a, b := roster.New(), roster.New()
+	e := roster.Entry{Service: "db", ID: "s", Born: 5, Seq: 3, Addr: "10.0.0.1:80"}
+	a.Put(e, time.Time{})
+	b.Put(e, time.Time{})
+	a.Leave(e.Incarnation(), time.Time{})
+	entries, _, _ := a.Since(0)
+	for _, e := range entries {
+		b.Put(e, time.Time{})
+	}
+	if diff := cmp.Diff([]roster.Entry(nil), b.Members("db")); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // TestSince guards against changes that an instance waiting for them never gets,
 // and against wake-ups by announcements that change nothing but Seq.
 func TestSince(t *testing.T) {
