roster: a server whose address another one announced gets it back if it goes on

What callers saw: one well-formed heartbeat for the address of a member took this member out of service for the rest of its start.

Cause: the roster declared the former user of an address gone, on the word of a newcomer that nobody had reached. A state that only increases cannot be taken back.

Change: both servers are kept. The one with the higher claim, then the newest start, has the address, so that all instances agree whatever the order of the entries. The former one gets a higher claim once it has announced itself three times in at least 3 s while the other one was silent.

--- a/host/control.go
+++ b/host/control.go
@@ -216,7 +216,7 @@
 			return eris.Wrapf(ErrUnknown, "service %q", e.Service)
 		}
 	}
-	if c.roster.Put(e, c.deps.Now()) {
+	if c.roster.Announce(e, c.deps.Now()) {
 		c.deps.Log.Info().Str("service", e.Service).Str("member", e.ID).Str("state", e.State.String()).
 			Bool("primary", e.Primary).Uint64("seq", e.Seq).Int64("born", e.Born).Msg("backend server changed")
 	}
--- a/host/odd_entry_test.go
+++ b/host/odd_entry_test.go
@@ -40,6 +40,7 @@
 		odd(func(e *roster.Entry) { e.Slots = math.MaxInt }),
 		odd(func(e *roster.Entry) { e.Slots = -3 }),
 		odd(func(e *roster.Entry) { e.State = 7 }),
+		odd(func(e *roster.Entry) { e.Claim = math.MaxUint64 }),
 		odd(func(e *roster.Entry) { e.ID = "" }),
 		odd(func(e *roster.Entry) { e.ID = strings.Repeat("i", 10_000) }),
 		odd(func(e *roster.Entry) { e.Service = "" }),
--- a/roster/check.go
+++ b/roster/check.go
@@ -13,6 +13,8 @@
 	maxSlots     = 100_000
 	// maxSeq is far above what a server reaches by counting its announcements.
 	maxSeq = 1 << 40
+	// maxClaim is far above what servers that contest an address reach.
+	maxClaim = 1 << 40
 	// maxBornAhead is how far the start of a server may lie ahead of the time of day here, which
 	// may differ by seconds. A later start would take precedence over every true one.
 	maxBornAhead = time.Hour
@@ -37,6 +39,8 @@
 		return eris.Errorf("roster: %d slots, want 0 to %d", e.Slots, maxSlots)
 	case e.Seq > maxSeq:
 		return eris.Errorf("roster: sequence number %d is above %d", e.Seq, uint64(maxSeq))
+	case e.Claim > maxClaim:
+		return eris.Errorf("roster: claim %d to the address is above %d", e.Claim, uint64(maxClaim))
 	case e.Born < 0 || e.Born > timeOfDay.Add(maxBornAhead).UnixMilli():
 		return eris.Errorf("roster: start at %d ms is negative or more than %v ahead", e.Born, maxBornAhead)
 	case e.State > Gone:
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,7 +17,7 @@
 const (
 	Ready    State = iota
 	Draining       // it is about to stop
-	Gone           // it has stopped, or another server uses its address
+	Gone           // it has stopped
 )
 
 // String returns the name of the state.
@@ -33,7 +33,8 @@
 	Zone    string
 	Slots   int // statements that it runs at a time
 	State   State
-	Primary bool // it announces itself as the primary
+	Primary bool   // it announces itself as the primary
+	Claim   uint64 // orders the servers that announced the same address; see Table.Announce
 }
 
 // Incarnation identifies one start of a backend server.
@@ -58,10 +59,15 @@
 	if other.Seq > e.Seq {
 		merged = other
 	}
-	merged.State = max(e.State, other.State)
+	merged.State, merged.Claim = max(e.State, other.State), max(e.Claim, other.Claim)
 	return merged
 }
 
+// precedes reports whether e uses the address that other announced too.
+func (e Entry) precedes(other Entry) bool {
+	return cmp.Or(cmp.Compare(e.Claim, other.Claim), cmp.Compare(e.Born, other.Born), cmp.Compare(e.ID, other.ID)) > 0
+}
+
 // equalIgnoringSeq reports whether two entries differ in Seq at most.
 func (e Entry) equalIgnoringSeq(old Entry) bool {
 	e.Seq = old.Seq
@@ -70,7 +76,7 @@
 
 // Limits of a Table.
 const (
-	// goneRetention is how long a server that is Gone is kept, so that a delayed
+	// goneRetention is how long a server that is not listed any more is kept, so that a delayed
 	// announcement does not list it again.
 	goneRetention = 2 * time.Minute
 	// silentRetention is how long a server that announces nothing is kept.
@@ -80,81 +86,171 @@
 	maxEntries = 50_000
 )
 
+// A server whose address another one has announced gets it back if it goes on to announce itself
+// while the other one is silent.
+const (
+	reclaimAfter         = 3 * time.Second
+	reclaimAnnouncements = 3
+	// contestWindow is how long after an announcement of a server without its address the one that
+	// has it is relayed with each announcement, so that all instances know that it is not silent.
+	contestWindow = 10 * time.Second
+)
+
 // row is the entry of one server ID.
 type row struct {
 	entry         Entry
 	lastAnnounced time.Time
 	revision      uint64 // revision of the table that changed the entry last
+
+	displaced      bool      // another server has its address
+	contestedAt    time.Time // when a server without this address announced it last
+	reclaimSince   time.Time // first announcement since the server with the address announced itself last
+	reclaimedCount int       // announcements since then
 }
 
+// listed reports whether the server can be used.
+func (r *row) listed() bool { return r.entry.State != Gone && !r.displaced }
+
 // Table is the roster. It is safe for concurrent use.
 type Table struct {
 	mu       sync.Mutex
 	rows     map[string]*row   // by ID
-	byAddr   map[string]string // ID of the newest server at an address
+	byAddr   map[string][]*row // servers that announced an address; the one that has it comes first
 	revision uint64            // number of changes
 	changed  chan struct{}     // closed at the next change
 }
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{rows: make(map[string]*row), byAddr: make(map[string]string), changed: make(chan struct{})}
+	return &Table{rows: make(map[string]*row), byAddr: make(map[string][]*row), changed: make(chan struct{})}
+}
+
+// Announce stores what a server announced of itself. A new start of a server gets its address from
+// one that started earlier or has left. Anybody can send an announcement, so the former one gets the
+// address back if it goes on to announce itself for reclaimAfter, and the other one does not. It
+// reports whether the list changed in more than Seq.
+func (t *Table) Announce(e Entry, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.Claim = t.claim(e)
+	changed := t.put(e, now)
+	r := t.rows[e.ID]
+	if r == nil || !r.displaced || r.entry.State == Gone || r.entry.Seq != e.Seq || r.entry.Born != e.Born {
+		return changed
+	}
+	if r.reclaimedCount < reclaimAnnouncements || now.Sub(r.reclaimSince) < reclaimAfter {
+		return changed
+	}
+	e.Claim = t.byAddr[e.Addr][0].entry.Claim + 1
+	return t.put(e, now)
+}
+
+// claim returns the claim of an announcement to its address.
+func (t *Table) claim(e Entry) uint64 {
+	r := t.rows[e.ID]
+	if r != nil && r.entry.Addr == e.Addr && e.Born <= r.entry.Born {
+		return r.entry.Claim
+	}
+	others := t.byAddr[e.Addr]
+	if len(others) == 0 {
+		return 0
+	}
+	switch user := others[0].entry; {
+	case user.ID == e.ID, user.Born > e.Born && user.State != Gone, user.Born < e.Born:
+		return user.Claim
+	default:
+		return user.Claim + 1
+	}
 }
 
-// Put stores an entry unless a newer one of the same server is known, a newer
-// server uses its address or the table is full. It reports whether the list changed
-// in more than Seq.
+// Put stores an entry that another instance relayed, unless a newer one of the same server is known
+// or the table is full. It reports whether the list changed in more than Seq.
 func (t *Table) Put(e Entry, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.put(e, now)
+}
+
+func (t *Table) put(e Entry, now time.Time) bool {
 	r := t.rows[e.ID]
 	if r == nil {
 		if len(t.rows) >= maxEntries {
 			t.expire(now)
 		}
-		if len(t.rows) >= maxEntries || !t.claimAddress(&e) {
+		if len(t.rows) >= maxEntries {
 			return false
 		}
-		t.rows[e.ID] = &row{entry: e, lastAnnounced: now}
-		t.markChanged(t.rows[e.ID])
-		return true
+		r = &row{entry: e, lastAnnounced: now}
+		t.rows[e.ID] = r
+		t.byAddr[e.Addr] = append(t.byAddr[e.Addr], r)
+		t.settle(e.Addr)
+		t.markChanged(r)
+		return r.listed()
 	}
-	if e = r.entry.merge(e); e == r.entry {
+	old, wasListed := r.entry, r.listed()
+	merged := old.merge(e)
+	if merged == old {
 		return false
 	}
-	if !t.claimAddress(&e) {
-		return false
+	r.entry = merged
+	if merged.Addr != old.Addr {
+		t.release(r, old.Addr)
+		t.byAddr[merged.Addr] = append(t.byAddr[merged.Addr], r)
 	}
-	if r.entry.Addr != e.Addr && t.byAddr[r.entry.Addr] == e.ID {
-		delete(t.byAddr, r.entry.Addr)
+	t.settle(merged.Addr)
+	announced := merged.Born != old.Born || merged.Seq != old.Seq
+	if announced {
+		t.recordAnnouncement(r, now)
 	}
-	r.lastAnnounced = now
-	changed := !e.equalIgnoringSeq(r.entry)
-	r.entry = e
-	if changed {
+	changed := !merged.equalIgnoringSeq(old)
+	if changed || announced && t.contested(r, now) {
 		t.markChanged(r)
 	}
-	return changed
+	return wasListed != r.listed() || changed && r.listed()
 }
 
-// claimAddress records that e uses its address. Only one server uses an address at
-// a time, so the older of two becomes Gone. It returns false if e is the older one.
-func (t *Table) claimAddress(e *Entry) bool {
-	id, ok := t.byAddr[e.Addr]
-	if ok && id != e.ID {
-		other := t.rows[id]
-		if other.entry.Born > e.Born && other.entry.State != Gone {
-			return false
+// recordAnnouncement records that a server announced itself.
+func (t *Table) recordAnnouncement(r *row, now time.Time) {
+	r.lastAnnounced = now
+	if !r.displaced {
+		return
+	}
+	user := t.byAddr[r.entry.Addr][0]
+	user.contestedAt = now
+	if r.reclaimedCount == 0 || !user.lastAnnounced.Before(r.reclaimSince) {
+		r.reclaimSince, r.reclaimedCount = now, 0
+	}
+	r.reclaimedCount++
+}
+
+// contested reports whether two servers announce the address of r.
+func (t *Table) contested(r *row, now time.Time) bool {
+	return r.displaced || !r.contestedAt.IsZero() && now.Sub(r.contestedAt) < contestWindow
+}
+
+// settle gives an address to one of the servers that announced it.
+func (t *Table) settle(addr string) {
+	rows := t.byAddr[addr]
+	for i, r := range rows {
+		if i > 0 && r.entry.precedes(rows[0].entry) {
+			rows[0], rows[i] = rows[i], rows[0]
 		}
-		if other.entry.State != Gone {
-			other.entry.State = Gone
-			t.markChanged(other)
+	}
+	for i, r := range rows {
+		if displaced := i > 0; displaced != r.displaced {
+			r.displaced, r.reclaimedCount = displaced, 0
 		}
 	}
-	if e.State != Gone {
-		t.byAddr[e.Addr] = e.ID
+}
+
+// release removes a server from those that announced an address.
+func (t *Table) release(r *row, addr string) {
+	rest := slices.DeleteFunc(t.byAddr[addr], func(other *row) bool { return other == r })
+	if t.byAddr[addr] = rest; len(rest) == 0 {
+		delete(t.byAddr, addr)
+		return
 	}
-	return true
+	t.settle(addr)
 }
 
 // Leave records that a server has stopped, unless it has been started again since.
@@ -182,11 +278,9 @@
 func (t *Table) expire(now time.Time) {
 	for id, r := range t.rows {
 		silent := now.Sub(r.lastAnnounced)
-		if silent > silentRetention || r.entry.State == Gone && silent > goneRetention {
+		if silent > silentRetention || !r.listed() && silent > goneRetention {
 			delete(t.rows, id)
-			if t.byAddr[r.entry.Addr] == id {
-				delete(t.byAddr, r.entry.Addr)
-			}
+			t.release(r, r.entry.Addr)
 		}
 	}
 }
@@ -214,13 +308,13 @@
 	return out, t.revision, t.changed
 }
 
-// Members returns the servers of a service that are not Gone, ordered by ID.
+// Members returns the servers of a service that can be used, ordered by ID.
 func (t *Table) Members(service string) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Entry
 	for _, r := range t.rows {
-		if r.entry.Service == service && r.entry.State != Gone {
+		if r.entry.Service == service && r.listed() {
 			out = append(out, r.entry)
 		}
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -14,21 +14,39 @@
 	"tamarackcross/roster"
 )
 
-// TestTable guards against a list that announcements make wrong when they come
-// late, twice or from an earlier start of a server.
+// TestTable guards against a list that announcements make wrong when they come late, twice, from an
+// earlier start of a server or from another writer. Each command may name its table with in=NAME.
 func TestTable(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		table := roster.New()
+		tables := make(map[string]*roster.Table)
 		now := time.Unix(0, 0)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			name := "a"
+			d.MaybeScanArgs(t, "in", &name)
+			table := tables[name]
+			if table == nil {
+				table = roster.New()
+				tables[name] = table
+			}
 			var out strings.Builder
 			for line := range strings.SplitSeq(d.Input, "\n") {
+				f := strings.Fields(line)
 				switch d.Cmd {
 				case "put":
 					fmt.Fprintln(&out, table.Put(parseEntry(t, line), now))
+				case "announce":
+					fmt.Fprintln(&out, table.Announce(parseEntry(t, line), now))
 				case "leave":
-					f := strings.Fields(line)
 					fmt.Fprintln(&out, table.Leave(roster.Incarnation{ID: f[0], Born: int64(parseInt(t, f[1]))}, now))
+				case "relay": // what the table named on the line has
+					entries, _, _ := tables[line].Since(0)
+					for _, e := range entries {
+						table.Put(e, now)
+					}
+				case "wait":
+					now = now.Add(parseDuration(t, line))
+				case "each":
+					announceEach(t, table, line, &now)
 				default:
 					d.Fatalf(t, "unknown command %s", d.Cmd)
 				}
@@ -41,6 +59,26 @@
 	})
 }
 
+// announceEach announces an entry with increasing sequence numbers. The line is "period interval entry".
+func announceEach(t *testing.T, table *roster.Table, line string, now *time.Time) {
+	t.Helper()
+	f := strings.SplitN(line, " ", 3)
+	e, end := parseEntry(t, f[2]), now.Add(parseDuration(t, f[0]))
+	for interval := parseDuration(t, f[1]); now.Before(end); e.Seq++ {
+		*now = now.Add(interval)
+		table.Announce(e, *now)
+	}
+}
+
+func parseDuration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
 // parseEntry reads "id born seq addr [draining] [primary]".
 func parseEntry(t *testing.T, line string) roster.Entry {
 	t.Helper()
@@ -116,6 +154,34 @@
 	}
 }
 
+// TestOrderAtOneAddress guards against instances that list different servers at an address: the order
+// in which entries arrive must not matter.
+func TestOrderAtOneAddress(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var entries []roster.Entry
+		for i := range rapid.IntRange(1, 12).Draw(t, "entries") {
+			id := rapid.IntRange(0, 2).Draw(t, "id")
+			entries = append(entries, roster.Entry{
+				Service: "db", ID: strconv.Itoa(id), Addr: "1", Born: int64(rapid.IntRange(0, 2).Draw(t, "born")), Seq: uint64(i),
+				State: roster.State(rapid.IntRange(0, 2).Draw(t, "state")), Claim: uint64(rapid.IntRange(0, 2).Draw(t, "claim")),
+			})
+		}
+		permuted := rapid.Permutation(entries).Draw(t, "order")
+		a, b := roster.New(), roster.New()
+		for i := range entries {
+			a.Put(entries[i], time.Time{})
+			b.Put(permuted[i], time.Time{})
+		}
+		got := a.Members("db")
+		if len(got) > 1 {
+			t.Fatalf("%d servers are listed at one address", len(got))
+		}
+		if diff := cmp.Diff(got, b.Members("db")); diff != "" {
+			t.Fatalf("lists differ (-original order +permuted):\n%s", diff)
+		}
+	})
+}
+
 // TestSince guards against changes that an instance waiting for them never gets,
 // and against wake-ups by announcements that change nothing but Seq.
 func TestSince(t *testing.T) {
