proxy: an entry that starts when a service has had thousands of terms compares its positions

Seen in the review by reading. The history of terms is extended by 4,096 at most at a time, so that a corrupt position cannot fill the memory. An entry begins at term 1 and never reached a term above 4,097; it refused each bounded and session read.

Change: a proof of primary whose term is far from the known ones, in either direction, starts the history anew around it. A corrupt position does not last for longer than until the next proof either.

--- a/proxy/group_test.go
+++ b/proxy/group_test.go
@@ -6,8 +6,10 @@
 	"maps"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"tamarackcross/group"
@@ -66,6 +68,18 @@
 	}
 }
 
+// setTerm sets the term of the positions from now on.
+func (g *fakeGroup) setTerm(t *testing.T, text string) {
+	t.Helper()
+	term, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.term = term
+}
+
 // replicate brings every replica to the position of the primary.
 func (g *fakeGroup) replicate() {
 	g.mu.Lock()
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -212,7 +212,7 @@
 func (v *service) recordProof(m *member, at time.Time, p group.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.extendHistory(p.Term)
+	v.adoptTerm(p.Term)
 	if id := m.target.ID; v.primary != id {
 		v.log.Info().Str("was", v.primary).Str(event.Primary, id).Str("position", p.String()).Msg("primary proved")
 		v.primary = id
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -340,6 +340,9 @@
 			case "wait":
 				time.Sleep(duration(t, d.CmdArgs[0].Key))
 				return "ok"
+			case "term":
+				r.group.setTerm(t, d.CmdArgs[0].Key)
+				return "ok"
 			case "promote":
 				r.group.promote(d.CmdArgs[0].Key)
 				return "ok"
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -228,6 +228,27 @@
 // maxTermStep bounds how far a corrupt position can extend the history.
 const maxTermStep = 4096
 
+const (
+	// keptTerms is how many terms before the one of a proof a history that starts anew has.
+	keptTerms = 64
+	// highestTerm is far above the term that a group reaches.
+	highestTerm = 1 << 53
+)
+
+// adoptTerm extends the history to the term of a proof. If that is far beyond the history, or before
+// it, the history starts anew around it: the instance started late, or an earlier position was corrupt.
+func (v *service) adoptTerm(term uint64) {
+	if term == 0 || term > highestTerm {
+		return
+	}
+	starts := v.history.Starts()
+	if len(starts) > 0 && term < starts[0].Term || term > v.maxTerm+maxTermStep {
+		v.log.Warn().Uint64("term", term).Uint64("newest_known", v.maxTerm).Msg("proof of primary is of a term far from the known ones; positions of older terms cannot be compared any more")
+		v.history, v.maxTerm = group.History{}, term-min(term, keptTerms)
+	}
+	v.extendHistory(term)
+}
+
 // extendHistory adds the terms up to the given one to the history, with starts that
 // discard nothing. This is safe: offsets of the log continue from term to term, and a
 // server refuses to serve at a position that its log lacks, for instance because the
