proxy: a primary that has been leaving for 5 s receives no more writes

Seen in the review by reading. Writes, transactions and reads of the latest data went on to a leaving primary without an end while control found no successor; the users allow 7 s (DRAIN). Other reads ended after 5 s already.

Evidence: proxy script leaving before: 5.2 s after the primary announced that it is leaving, the write, the read and the transaction are still run there.

Change: the primary is not used any more after the same 5 s. The requests are refused as not run.

Result: the script passes; the successor is used as soon as it has proved its role.

--- a/proxy/member.go
+++ b/proxy/member.go
@@ -104,6 +104,14 @@
 	m.entry = e
 }
 
+// pastLeaveGrace reports whether the server has been leaving for so long that it must not receive any
+// more requests.
+func (m *member) pastLeaveGrace(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.drainingSince.IsZero() && now.Sub(m.drainingSince) > drainingPrimaryGrace
+}
+
 func (m *member) snapshot() roster.Entry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -239,7 +239,7 @@
 		limit = now.Add(primarySearchInterval)
 	}
 	p := w.svc.awaitProof(ctx, now, limit)
-	if p.member == nil {
+	if p.member == nil || p.member.pastLeaveGrace(w.now()) {
 		return placement{}, w.reject(errs.ReasonNoPrimary)
 	}
 	return placement{member: p.member, bound: readBound{timedPosition: timedPosition{at: p.at}, known: true}}, nil
@@ -382,7 +382,7 @@
 // or it does not answer, it waits for a new proof.
 func (w *operation) awaitPrimary(ctx context.Context) (*member, *Fault) {
 	w.svc.recordDirectUse()
-	if m := w.svc.primaryMember(); m != nil && m.failingFor(w.now()) == 0 {
+	if m := w.svc.primaryMember(); m != nil && m.failingFor(w.now()) == 0 && !m.pastLeaveGrace(w.now()) {
 		if _, ok := w.svc.covers(m, w.now()); ok {
 			return m, nil
 		}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -182,10 +182,12 @@
 	r.announce(m)
 }
 
-func (r *harness) announce(m *fakeMember) {
+func (r *harness) announce(m *fakeMember) { r.announceState(m, roster.Ready) }
+
+func (r *harness) announceState(m *fakeMember, state roster.State) {
 	r.seq++
 	r.table.Put(roster.Entry{
-		Service: "db", ID: m.id, Addr: m.id, Zone: "a", Slots: 3, Seq: r.seq, Primary: m.primary,
+		Service: "db", ID: m.id, Addr: m.id, Zone: "a", Slots: 3, Seq: r.seq, Primary: m.primary, State: state,
 	}, time.Now())
 }
 
@@ -294,6 +296,8 @@
 	defer r.group.mu.Unlock()
 	m := r.group.members[id]
 	switch kind {
+	case "leaving":
+		r.announceState(m, roster.Draining)
 	case "lose":
 		m.loseAnswers = n
 	case "cut":
