duty, platform: the log tells how many instances miss a primary that is replaced

Neither the test nor the log could tell why, since instances of the test wrote no log, and the line on a replacement did not name its ground.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -115,6 +115,9 @@
 		Text     string
 		Member   string
 		Statuses []Status // answers of the members that the decision rests on
+		// Failing is the number of instances that have had no answer from the member, of the
+		// Instances that probe it. Both are 0 if the decision does not rest on them.
+		Failing, Instances int
 	}
 )
 
@@ -345,11 +348,14 @@
 	s.enterPhase(collectingStatus, now)
 	var out []Action
 	if !planned {
-		text := "primary does not answer, members are asked"
-		if m, listed := s.member(primary); listed && !s.failing(m) {
-			text = "replacement of the primary was interrupted, members are asked"
+		note := Note{Text: "primary does not answer, members are asked", Member: primary}
+		switch m, listed := s.member(primary); {
+		case listed && !s.failing(m):
+			note.Text = "replacement of the primary was interrupted, members are asked"
+		case listed:
+			note.Failing, note.Instances = m.FailingInstances, s.view.Instances
 		}
-		out = append(out, Note{Text: text, Member: primary})
+		out = append(out, note)
 		out = append(out, s.recall()...)
 	}
 	for _, m := range s.view.Members {
--- a/host/duty.go
+++ b/host/duty.go
@@ -183,6 +183,9 @@
 		}
 		line = line.Dict("answers", answers)
 	}
+	if n.Instances > 0 {
+		line = line.Int("failing_instances", n.Failing).Int("probing_instances", n.Instances)
+	}
 	line.Msg(n.Text)
 }
 
