host: the leader of control does not report to itself

Callers saw: a primary that works may be replaced, which costs writes a second. Cause: an urgent report of a control instance goes to the leader, and the leader sent one to its own address. It then counted what it had gathered twice, and the copy stayed in force for up to 2 s after the entries had reported something else.

--- a/host/urgent.go
+++ b/host/urgent.go
@@ -53,14 +53,18 @@
 	}
 }
 
-// reportAddr returns the address to which urgent reports go, or "" if it is not known.
+// reportAddr returns the address to which urgent reports go, or "" if it is not known. The leader of
+// control sends none: it would count what it has gathered twice.
 func (c *controlClients) reportAddr() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.selfAddr != "" {
-		return c.leader
+	switch {
+	case c.selfAddr == "":
+		return c.home
+	case c.leader == c.selfAddr:
+		return ""
 	}
-	return c.home
+	return c.leader
 }
 
 // report sends the state of this instance. What the reply carries arrives with the Sync calls.
--- a/host/urgent_test.go
+++ b/host/urgent_test.go
@@ -93,3 +93,32 @@
 		t.Errorf("the member counts as failing at %d instances, want 1", got)
 	}
 }
+
+// TestLeaderDoesNotReportToItself guards against a leader of control that counts what it has
+// gathered twice: once more as its own report, which stays in force for seconds after a change.
+func TestLeaderDoesNotReportToItself(t *testing.T) {
+	g := startControlGroup(t, 3)
+	g.put(testDocument{Version: 1})
+	leader := g.all[g.findSeed(true)]
+	name := leader.settings.Name
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		leader.clients.mu.Lock()
+		known := leader.clients.leader == leader.settings.PeerAddr
+		leader.clients.mu.Unlock()
+		if known {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the others do not name the leader")
+		}
+	}
+	leader.recordReport(&mesh.SyncRequest{
+		Name: "front-1", Serves: true, Home: true, ProbedServices: []string{"svc"},
+		UnresponsiveMembers: []mesh.UnresponsiveMember{{Service: "svc", ID: "m1", For: time.Second}},
+	})
+	for end := time.Now().Add(4 * urgentReportInterval); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if r, ok := leader.reports.live(leader.deps.Now())[name]; ok {
+			t.Fatalf("the leader received a report of its own: %+v", r.gathered)
+		}
+	}
+}
