host, mesh: an entry that has changed its home counts once

Callers saw: after a primary had been cut off together with one of two entries, its successor was replaced as well 0.2 s after the partition had ended, although it answered: writes stopped twice, for about a second each.

Cause: an entry that is cut off changes its home several times a second. What it said to a former home stays in force there for 2 s, and control instances pass on numbers of instances. The leader added the same entry up at each of its homes: one of two entries became 2 of 3, which is most of them.

Change: control instances pass on which entries they count and which of these miss a member, as sets. Each report says since when its receiver is the home. The leader counts an entry where it chose its home last. TestFailingWhileNoNewReport and TestHomeIsReplaced call the new functions; their expectations are the same.

Measured: TestChangedHomeCountsOnce failed in 5 of 5 runs before (there without the field HomeSince, "3 instances count as probing, want 2") and passes.

--- a/host/contacts_test.go
+++ b/host/contacts_test.go
@@ -79,7 +79,7 @@
 	for end := time.Now().Add(3 * time.Second); ; time.Sleep(20 * time.Millisecond) {
 		counted := 0
 		for j, c := range g.all {
-			if j != i && len(c.reports.summarize(clock.Now()).homed) > 0 {
+			if j != i && len(gather(c.reports.live(clock.Now()), c.settings.Name, clock.Now()).Entries) > 0 {
 				counted++
 			}
 		}
--- a/host/control.go
+++ b/host/control.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -287,7 +286,7 @@
 // recordReport stores the state that a Sync request carries.
 func (c *Controller) recordReport(in *mesh.SyncRequest) {
 	c.reports.put(in.Name, instanceReport{
-		zone: in.Zone, serves: in.Serves, home: in.Home, gathered: in.Gathered, wait: in.Wait, addr: in.Addr, leaving: in.Leaving,
+		zone: in.Zone, serves: in.Serves, home: in.Home, homeSince: in.HomeSince, gathered: in.Gathered, wait: in.Wait, addr: in.Addr, leaving: in.Leaving,
 		probed: in.ProbedServices, at: c.deps.Now(), unresponsive: in.UnresponsiveMembers,
 	})
 }
@@ -362,17 +361,15 @@
 	if unresponsive, probed := c.probeResults(); len(probed) > 0 {
 		reports[c.settings.Name] = instanceReport{home: true, at: now, probed: probed, unresponsive: unresponsive}
 	}
-	health := summarizeHealth(reports, now)
-	next := health.gather(c.reports.summarize(now).homed)
+	next := gather(reports, c.settings.Name, now)
 	c.mu.Lock()
-	urgent := c.gathered != nil && !slices.Equal(c.gathered.Failing, next.Failing)
+	urgent := c.gathered != nil && !sameFailing(c.gathered, next)
 	c.gathered = next
 	c.mu.Unlock()
 	if urgent {
 		c.clients.reportNow()
 	}
-	health.addGathered(reports)
-	return health
+	return sumHealth(next, reports)
 }
 
 // followLeader records the leader that this instance knows, and wakes the calls that are held if
--- a/host/control_client.go
+++ b/host/control_client.go
@@ -54,6 +54,7 @@
 	byAddr       map[string]*controlClient
 	removed      []*controlClient // cancelled; close waits for their goroutines
 	home         string           // address of the control instance to which this instance reports
+	homeSince    time.Time        // when it became the home
 	leader       string           // address of the leader of control, as the home named it last
 	needsLeases  bool             // the last request asked for leases
 	pings        map[string]time.Time
@@ -223,7 +224,7 @@
 	}
 	if home != c.home {
 		c.log.Info().Str("control", home).Str("was", c.home).Msg("control instance to which this instance reports changed")
-		c.home = home
+		c.home, c.homeSince = home, now
 		c.reportNow() // the call that the new one holds does not name it as the home
 	}
 	for addr, cc := range c.byAddr {
@@ -288,7 +289,9 @@
 	c.mu.Lock()
 	in.Incarnation, in.RosterRevision, in.Wait, in.PeersDigest = cc.incarnation, cc.rosterRevision, cc.wait, cc.peersDigest
 	in.ConfigVersion = max(in.ConfigVersion, cc.configVersion)
-	in.Home = c.selfAddr == "" && c.home == cc.addr
+	if c.selfAddr == "" && c.home == cc.addr {
+		in.Home, in.HomeSince = true, c.homeSince.UnixMilli()
+	}
 	c.addLeaseRequest(&in, cc)
 	c.mu.Unlock()
 	reply, err := client.Sync(ctx, &in)
--- a/host/reports.go
+++ b/host/reports.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"maps"
+	"math/big"
+	"math/bits"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +24,7 @@
 	zone         string
 	serves       bool           // it is an entry
 	home         bool           // this instance counts it
+	homeSince    int64          // when it chose this instance as its home, in ms of its clock
 	gathered     *mesh.Gathered // of a control instance
 	wait         time.Duration  // how long its call may be held
 	addr         string         // where it serves forwarded requests
@@ -46,7 +49,6 @@
 
 // reportSummary is what all instances learn from the reports. It is not changed once it is made.
 type reportSummary struct {
-	homed   []uint32             // hashes of the names of the live entries whose home this instance is
 	entries int                  // number of all live entries
 	peers   map[string]zonePeers // by zone
 }
@@ -108,9 +110,7 @@
 			continue
 		}
 		if r.home {
-			hash := murmur3.StringSum32(name)
-			s.homed = append(s.homed, hash)
-			all[hash] = struct{}{}
+			all[murmur3.StringSum32(name)] = struct{}{}
 		}
 		if !r.leaving && r.addr != "" {
 			p := s.peers[r.zone]
@@ -123,7 +123,6 @@
 		p.digest = mesh.Digest(p.list)
 		s.peers[zone] = p
 	}
-	slices.Sort(s.homed)
 	s.entries = len(all)
 	t.summary, t.summaryAt = s, now
 	return s
@@ -142,31 +141,32 @@
 	failing map[memberKey]int // number of instances that have had no answer for duty.FailureThreshold
 }
 
-// summarizeHealth counts the instances that probe and that miss each backend server, of those
-// that this instance counts.
-func summarizeHealth(reports map[string]instanceReport, now time.Time) healthSummary {
-	out := healthSummary{probing: make(map[string]int), failing: make(map[memberKey]int)}
-	for _, r := range reports {
-		if !r.home {
-			continue
-		}
-		for _, service := range r.probed {
-			out.probing[service]++
-		}
-		for _, m := range r.unresponsive {
-			if m.For+min(now.Sub(r.at), maxReportExtrapolation) >= duty.FailureThreshold {
-				out.failing[memberKey{m.Service, m.ID}]++
-			}
+// gather returns what the live reports of the instances say whose home this instance is. self is the
+// name of this instance, whose own probes are among the reports if it probes.
+func gather(reports map[string]instanceReport, self string, now time.Time) *mesh.Gathered {
+	type reporter struct {
+		hash uint32
+		name string
+	}
+	var reporters []reporter
+	for name, r := range reports {
+		if r.home && name != self {
+			reporters = append(reporters, reporter{murmur3.StringSum32(name), name})
 		}
 	}
-	return out
-}
-
-// gather returns the summary as it is sent to other control instances.
-func (h healthSummary) gather(entries []uint32) *mesh.Gathered {
-	out := &mesh.Gathered{Entries: entries, Probing: maps.Clone(h.probing)}
-	for k, n := range h.failing {
-		out.Failing = append(out.Failing, mesh.FailingMember{Service: k.service, ID: k.id, Instances: n})
+	slices.SortFunc(reporters, func(a, b reporter) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), strings.Compare(a.name, b.name))
+	})
+	out := &mesh.Gathered{Probing: make(map[string]*big.Int)}
+	failing := make(map[memberKey]*big.Int)
+	for i, r := range reporters {
+		out.Entries = append(out.Entries, r.hash)
+		out.HomeSince = append(out.HomeSince, reports[r.name].homeSince)
+		reports[r.name].addHealth(i, now, out.Probing, failing)
+	}
+	reports[self].addHealth(len(reporters), now, out.Probing, failing)
+	for k, at := range failing {
+		out.Failing = append(out.Failing, mesh.FailingMember{Service: k.service, ID: k.id, At: at})
 	}
 	slices.SortFunc(out.Failing, func(a, b mesh.FailingMember) int {
 		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
@@ -174,17 +174,89 @@
 	return out
 }
 
-// addGathered adds what the other control instances have gathered.
-func (h healthSummary) addGathered(reports map[string]instanceReport) {
+// addHealth adds instance i, which sent the report, to the sets of those that probe a service and
+// of those that miss a backend server.
+func (r instanceReport) addHealth(i int, now time.Time, probing map[string]*big.Int, failing map[memberKey]*big.Int) {
+	for _, service := range r.probed {
+		addInstance(probing, service, i)
+	}
+	for _, m := range r.unresponsive {
+		if m.For+min(now.Sub(r.at), maxReportExtrapolation) >= duty.FailureThreshold {
+			addInstance(failing, memberKey{m.Service, m.ID}, i)
+		}
+	}
+}
+
+func addInstance[K comparable](sets map[K]*big.Int, key K, i int) {
+	set := sets[key]
+	if set == nil {
+		set = new(big.Int)
+		sets[key] = set
+	}
+	set.SetBit(set, i, 1)
+}
+
+// sameFailing reports whether the same members are failing at as many instances.
+func sameFailing(a, b *mesh.Gathered) bool {
+	return slices.EqualFunc(a.Failing, b.Failing, func(x, y mesh.FailingMember) bool {
+		return x.Service == y.Service && x.ID == y.ID && countInstances(x.At, nil) == countInstances(y.At, nil)
+	})
+}
+
+// sumHealth adds up what this instance and the other control instances, whose reports are given,
+// have gathered. An entry that has changed its home may be known to several of them for
+// reportTimeout. It counts at the one that it chose last.
+func sumHealth(own *mesh.Gathered, reports map[string]instanceReport) healthSummary {
+	all := []*mesh.Gathered{own}
 	for _, r := range reports {
-		if r.gathered == nil {
-			continue
+		if r.gathered != nil {
+			all = append(all, r.gathered)
+		}
+	}
+	newest := make(map[uint32]int64) // newest HomeSince of each entry
+	for _, g := range all {
+		for i, hash := range g.Entries {
+			newest[hash] = max(newest[hash], homeSince(g, i))
+		}
+	}
+	out := healthSummary{probing: make(map[string]int), failing: make(map[memberKey]int)}
+	for _, g := range all {
+		counted := new(big.Int).SetBit(new(big.Int), len(g.Entries), 1)
+		for i, hash := range g.Entries {
+			if since, ok := newest[hash]; ok && since == homeSince(g, i) {
+				counted.SetBit(counted, i, 1)
+				delete(newest, hash)
+			}
 		}
-		for service, n := range r.gathered.Probing {
-			h.probing[service] += n
+		for service, at := range g.Probing {
+			out.probing[service] += countInstances(at, counted)
 		}
-		for _, m := range r.gathered.Failing {
-			h.failing[memberKey{m.Service, m.ID}] += m.Instances
+		for _, m := range g.Failing {
+			out.failing[memberKey{m.Service, m.ID}] += countInstances(m.At, counted)
 		}
 	}
+	return out
+}
+
+// homeSince returns when entry i chose its home, or 0 if that is not known.
+func homeSince(g *mesh.Gathered, i int) int64 {
+	if i < len(g.HomeSince) {
+		return g.HomeSince[i]
+	}
+	return 0
+}
+
+// countInstances returns the size of a set of instances, or of the part of it that is in within.
+func countInstances(set, within *big.Int) int {
+	if set == nil {
+		return 0
+	}
+	if within != nil {
+		set = new(big.Int).And(set, within)
+	}
+	n := 0
+	for _, word := range set.Bits() {
+		n += bits.OnesCount(uint(word))
+	}
+	return n
 }
--- a/host/urgent.go
+++ b/host/urgent.go
@@ -37,14 +37,14 @@
 			return ctx.Err()
 		case <-c.urgent:
 		}
-		if addr := c.reportAddr(); addr != "" {
+		if addr, since := c.reportTarget(); addr != "" {
 			if client == nil || client.Addr() != addr {
 				if client != nil {
 					client.Close()
 				}
 				client = mesh.NewClient(addr, c.dial)
 			}
-			c.report(ctx, client)
+			c.report(ctx, client, since)
 		}
 		select {
 		case <-ctx.Done():
@@ -53,26 +53,27 @@
 	}
 }
 
-// reportAddr returns the address to which urgent reports go, or "" if it is not known. The leader of
-// control sends none: it would count what it has gathered twice.
-func (c *controlClients) reportAddr() string {
+// reportTarget returns the address to which urgent reports go, or "" if it is not known, and since when
+// it is the home of an entry. The leader of control sends no reports: it would count what it has
+// gathered twice.
+func (c *controlClients) reportTarget() (addr string, homeSince int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.selfAddr == "":
-		return c.home
+		return c.home, c.homeSince.UnixMilli()
 	case c.leader == c.selfAddr:
-		return ""
+		return "", 0
 	}
-	return c.leader
+	return c.leader, 0
 }
 
 // report sends the state of this instance. What the reply carries arrives with the Sync calls.
-func (c *controlClients) report(parent context.Context, client *mesh.Client) {
+func (c *controlClients) report(parent context.Context, client *mesh.Client, homeSince int64) {
 	ctx, stop := context.WithTimeout(parent, urgentReportTimeout)
 	defer stop()
 	in := c.newRequest()
-	in.ReportOnly, in.Home = true, c.selfAddr == ""
+	in.ReportOnly, in.Home, in.HomeSince = true, c.selfAddr == "", homeSince
 	if _, err := client.Sync(ctx, &in); err != nil && parent.Err() == nil {
 		c.log.Debug().Err(err).Str("control", client.Addr()).Msg("report of an unresponsive backend server failed; the next Sync call carries it")
 	}
--- a/host/urgent_test.go
+++ b/host/urgent_test.go
@@ -89,7 +89,7 @@
 		"a report too old to go on":       {home: true, at: ago(1900 * time.Millisecond), unresponsive: unresponsive(-100 * time.Millisecond)},
 	}
 	reports["an instance with another home"] = instanceReport{at: now, unresponsive: unresponsive(time.Second)}
-	if got := summarizeHealth(reports, now).failing[memberKey{"svc", "m1"}]; got != 1 {
+	if got := sumHealth(gather(reports, "core-0", now), nil).failing[memberKey{"svc", "m1"}]; got != 1 {
 		t.Errorf("the member counts as failing at %d instances, want 1", got)
 	}
 }
@@ -122,3 +122,41 @@
 		}
 	}
 }
+
+// TestChangedHomeCountsOnce guards against an entry that counts at two control instances after it
+// has changed its home: what one of two entries misses is then failing at most of them, and a
+// primary that works is replaced.
+func TestChangedHomeCountsOnce(t *testing.T) {
+	g := startControlGroup(t, 3)
+	g.put(testDocument{Version: 1})
+	leader := g.findSeed(true)
+	missing := []mesh.UnresponsiveMember{{Service: "svc", ID: "m1", For: time.Second}}
+	report := func(control int, name string, homeSince int64, missing []mesh.UnresponsiveMember) {
+		g.all[control].recordReport(&mesh.SyncRequest{
+			Name: name, Serves: true, Home: true, HomeSince: homeSince, ProbedServices: []string{"svc"}, UnresponsiveMembers: missing,
+		})
+	}
+	health := func() healthSummary { return g.all[leader].gatherHealth(g.all[leader].deps.Now()) }
+	for end := time.Now().Add(10 * time.Second); health().probing["svc"] < 2; time.Sleep(20 * time.Millisecond) {
+		report((leader+1)%3, "front-1", 1000, missing)
+		report(leader, "front-2", 1000, nil)
+		if time.Now().After(end) {
+			t.Fatalf("the leader knows of %d instances that probe, want 2", health().probing["svc"])
+		}
+	}
+	report(leader, "front-1", 2000, missing)
+	for end := time.Now().Add(longPollWait); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		got := health()
+		if n := got.probing["svc"]; n != 2 {
+			t.Fatalf("%d instances count as probing, want 2", n)
+		}
+		if n := got.failing[memberKey{"svc", "m1"}]; n != 1 {
+			t.Fatalf("m1 counts as failing at %d instances, want 1", n)
+		}
+	}
+	// What the entry says at its new home goes before what the former one still knows.
+	report(leader, "front-1", 2000, nil)
+	if n := health().failing[memberKey{"svc", "m1"}]; n != 0 {
+		t.Errorf("m1 answers again and counts as failing at %d instances", n)
+	}
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/big"
 	"net"
 	"slices"
 	"sync"
@@ -58,22 +59,26 @@
 	Lease               *LeaseRequest        `json:",omitempty"` // asks for leases; nil if the sender relies on no primary
 	ReportOnly          bool                 `json:",omitempty"` // the receiver replies at once, with nothing
 	Home                bool                 `json:",omitempty"` // the receiver counts the sender; an entry has one home
+	HomeSince           int64                `json:",omitempty"` // when the sender chose it, in ms of its clock
 	Gathered            *Gathered            `json:",omitempty"` // set by control instances
 }
 
-// Gathered is what a control instance has gathered from the entries whose home it is.
+// Gathered is what a control instance has gathered from the entries whose home it is, and from its
+// own probes. A set of instances is a number in which bit i stands for Entries[i], and bit
+// len(Entries) for the control instance itself.
 type Gathered struct {
-	Entries []uint32        `json:",omitempty"` // hashes of their names; an entry may change its home
-	Probing map[string]int  `json:",omitempty"` // number of instances that probe the members of a service
-	Failing []FailingMember `json:",omitempty"`
+	Entries   []uint32            `json:",omitempty"` // hashes of their names; an entry may change its home
+	HomeSince []int64             `json:",omitempty"` // when each of them chose this home, in ms of its clock
+	Probing   map[string]*big.Int `json:",omitempty"` // instances that probe the members of a service
+	Failing   []FailingMember     `json:",omitempty"`
 }
 
 // FailingMember is a backend server that some instances have had no answer from for so long that
 // it counts as failing there.
 type FailingMember struct {
-	Service   string
-	ID        string
-	Instances int
+	Service string
+	ID      string
+	At      *big.Int // set of these instances
 }
 
 // ControlAddr is the address of a control instance, and its zone if known.
