host: Close waits until the addresses of the role are free

Cause: Close of the control role did not wait for the server for other instances, which closes its listener in a goroutine of its own once the context has ended. Same in the entry role, for the connections that other entries forward through. A process that ends is not affected; within one process a new start may come too early.

The package inst waits for its servers already.

--- a/host/config_link_test.go
+++ b/host/config_link_test.go
@@ -167,6 +167,14 @@
 
 // startEntry starts an entry whose connections to other instances are opened by dial.
 func (g *controlGroup) startEntry(dial mesh.DialFunc) *Entry {
+	g.t.Helper()
+	e := g.startUnmanagedEntry(dial)
+	g.t.Cleanup(e.Close)
+	return e
+}
+
+// startUnmanagedEntry does the same. The caller closes the entry.
+func (g *controlGroup) startUnmanagedEntry(dial mesh.DialFunc) *Entry {
 	g.t.Helper()
 	e, err := StartEntry(Settings{
 		Name: "front-1", Zone: "a", CallerAddr: unusedAddr(g.t), ReadyAddr: unusedAddr(g.t), PeerAddr: unusedAddr(g.t), Seeds: g.peers, GracePeriod: time.Second, Succession: duty.Immediate,
@@ -177,7 +185,6 @@
 	if err != nil {
 		g.t.Fatal(err)
 	}
-	g.t.Cleanup(e.Close)
 	return e
 }
 
--- a/host/control.go
+++ b/host/control.go
@@ -63,6 +63,7 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	ended      chan error // receives the result of each server and of the log
+	peersDone  chan error // receives the result of the server for other instances
 	dutyDone   chan error // receives the result of runDuty
 	configDone chan error // receives the result of followConfig
 }
@@ -71,7 +72,7 @@
 func StartControl(s Settings, p ControlDeps) (*Controller, error) {
 	c := &Controller{
 		settings: s, deps: p, incarnation: rand.Uint64() | 1, ledger: ledger.New(), roster: roster.New(),
-		reports: newReportTable(), leaderChanged: make(chan struct{}), ended: make(chan error, 3), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
+		reports: newReportTable(), leaderChanged: make(chan struct{}), ended: make(chan error, 3), peersDone: make(chan error, 1), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	peerListener, err := mesh.Listen(c.ctx, s.PeerAddr)
@@ -99,7 +100,11 @@
 	}
 	c.clients.start(c.ctx, s.Seeds)
 	c.http = &http.Server{Handler: p.Handler(c), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
-	go func() { c.ended <- ctrl.Serve(c.ctx, peerListener, mux, panicReport(p.Log, p.Stats)) }()
+	go func() {
+		err := ctrl.Serve(c.ctx, peerListener, mux, panicReport(p.Log, p.Stats))
+		c.ended <- err
+		c.peersDone <- err
+	}()
 	go func() { c.ended <- serveHTTP(c.http, apiListener) }()
 	go func() {
 		<-c.node.Done()
@@ -152,7 +157,7 @@
 	c.node.SetInitialMembers(s.Seeds)
 }
 
-// Close stops the role at once.
+// Close stops the role at once. Its addresses are free when it returns.
 func (c *Controller) Close() error {
 	c.cancel()
 	err := c.http.Close()
@@ -165,7 +170,9 @@
 	if prober != nil {
 		prober.Close()
 	}
-	return errors.Join(err, c.node.Close())
+	err = errors.Join(err, c.node.Close())
+	<-c.peersDone // its result went to Ended as well
+	return err
 }
 
 // applyRoster merges the roster of another control instance into the own one.
--- a/host/entry.go
+++ b/host/entry.go
@@ -50,9 +50,10 @@
 	readyServer    *http.Server
 	leaving        atomic.Bool
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	ended  chan error // receives the result of each server
+	ctx       context.Context
+	cancel    context.CancelFunc
+	ended     chan error // receives the result of each server
+	peersDone chan error // receives the result of the server for other instances
 }
 
 // filesPerSession is the number of file descriptors to reserve for a session: one for the
@@ -64,7 +65,7 @@
 	if p.Dial == nil {
 		p.Dial = mesh.Dial
 	}
-	e := &Entry{settings: s, deps: p, roster: roster.New(), ended: make(chan error, 3)}
+	e := &Entry{settings: s, deps: p, roster: roster.New(), ended: make(chan error, 3), peersDone: make(chan error, 1)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.control = newControlClients("", s.Zone, p.Dial, p.Now, p.Log, p.Stats)
 	opts := []proxy.Option{
@@ -105,7 +106,11 @@
 	e.readyServer = &http.Server{Handler: p.Ready(e.Ready), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	go func() { e.ended <- e.server.Serve(e.ctx, callerListener, p.Open) }()
 	go func() { e.ended <- serveHTTP(e.readyServer, readyListener) }()
-	go func() { e.ended <- ctrl.Serve(e.ctx, peerListener, mux, panicReport(p.Log, p.Stats)) }()
+	go func() {
+		err := ctrl.Serve(e.ctx, peerListener, mux, panicReport(p.Log, p.Stats))
+		e.ended <- err
+		e.peersDone <- err
+	}()
 	go func() { e.config.done <- e.config.run(e.ctx) }()
 	return e, nil
 }
@@ -260,7 +265,7 @@
 	e.Close()
 }
 
-// Close stops the role at once.
+// Close stops the role at once. Its addresses are free when it returns.
 func (e *Entry) Close() {
 	e.cancel()
 	_ = e.callerListener.Close()
@@ -268,6 +273,7 @@
 	e.control.close()
 	<-e.config.done
 	e.server.Close()
+	<-e.peersDone // its result went to Ended as well
 	e.proofs.close()
 	if err := e.peerClient.Close(); err != nil {
 		e.deps.Log.Debug().Err(err).Msg("closing connections to other instances failed; the entry role stops anyway")
