entry: closing prepared statements needs no backend server

Callers saw: while no backend server can be used, or all connections are in use, closing a prepared statement is refused (53300 or 08006).

Cause: a batch that only closes names acquired a connection like any other, though the entry makes the answers itself. Outside of a transaction it now answers without one. The names belong to the session, and there are no portals.

--- a/entry/batch.go
+++ b/entry/batch.go
@@ -251,6 +251,9 @@
 	if st := proxySettingStatement(batch); st != nil {
 		return c.runProxySettingBatch(ctx, batch, ready)
 	}
+	if c.tx == nil && !c.txLost && closesOnly(batch) {
+		return c.answerCloses(ctx, batch, ready)
+	}
 	var stmts []shape.Statement
 	for _, m := range batch {
 		if m.typ == 'E' || m.typ == 'B' && !ready {
@@ -268,6 +271,25 @@
 	return err
 }
 
+// closesOnly reports whether a batch only closes statements and portals.
+func closesOnly(batch []message) bool {
+	return !slices.ContainsFunc(batch, func(m message) bool { return m.typ != 'C' })
+}
+
+// answerCloses answers a batch that only closes statements and portals, outside of a transaction. No
+// backend server is needed: names of statements are those of the session, and there are no portals.
+func (c *session) answerCloses(ctx context.Context, batch []message, ready bool) error {
+	for range batch {
+		if err := c.send(&pgproto3.CloseComplete{}); err != nil {
+			return err
+		}
+	}
+	if !ready {
+		return c.flush()
+	}
+	return c.endBatch(ctx)
+}
+
 // endPortals removes the portals if the transaction has ended.
 func (c *session) endPortals() {
 	if c.tx == nil {
--- a/entry/close_test.go
+++ b/entry/close_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"tamarackcross/entry"
 	"tamarackcross/token"
 )
@@ -37,3 +39,28 @@
 		}
 	}
 }
+
+// TestCloseNeedsNoServer guards against a caller that cannot close a prepared statement while no
+// backend server answers. Drivers close statements that failed before they send anything else.
+func TestCloseNeedsNoServer(t *testing.T) {
+	s := startSite(t)
+	c := dialRaw(t, s.addrs[0])
+	c.start(map[string]string{"user": "app", "database": "app"})
+	send := func(msgs ...pgproto3.FrontendMessage) string {
+		for _, m := range append(msgs, &pgproto3.Sync{}) {
+			c.fe.Send(m)
+		}
+		if err := c.fe.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		return c.read(testTimeout)
+	}
+	expectEqual(t, "prepared", "ParseComplete, ReadyForQuery I\n", send(&pgproto3.Parse{Name: "a", Query: "SELECT 1"}))
+	for _, m := range s.group.Servers() {
+		if err := m.Stop(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expectEqual(t, "closed", "CloseComplete, CloseComplete, ReadyForQuery I\n",
+		send(&pgproto3.Close{ObjectType: 'S', Name: "a"}, &pgproto3.Close{ObjectType: 'P', Name: "p"}))
+}
