spread: a change is pushed to instances that have just registered

Cause: an instance read its list of peers at most once per second. A change that was made within a second after an instance had registered was not pushed to it, and the periodic summaries, which are left then, may go to the same peer again by chance. The time between two readings now grows with the number of peers, 1 ms for each up to 1 s, and a summary goes to another peer than the last one.

The test now logs the version of each instance when it fails: one instance lacks the first change, all others have it. A trace of the messages of one failure (scratch copy): no push to instance-4, and its two summaries both went to instance-7, which lacked the change as well. Ruled out: a late leader, a pull without an answer.

--- a/inst/config_test.go
+++ b/inst/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"path/filepath"
 	"strings"
@@ -132,10 +133,16 @@
 func TestChangeInForce(t *testing.T) {
 	r := newCluster(t, 3, 5)
 	r.startAll()
+	t.Cleanup(func() {
+		if t.Failed() {
+			r.logVersions()
+		}
+	})
 	for v := range uint64(5) {
 		want := time.Duration(v+1) * time.Second
 		start := time.Now()
 		change(t, r.insts[v], v, document(t, want))
+		t.Logf("change %d was accepted after %s", v+1, time.Since(start))
 		await(t, "the change is in force everywhere", inForceTarget, func() bool {
 			for _, in := range r.insts {
 				if in.Views().Resolve(fleet.Scope{Database: "app"}).Deadline != want {
@@ -174,3 +181,15 @@
 		t.Fatalf("exit code %d, %s", code, stderr.String())
 	}
 }
+
+// logVersions logs the version that each instance has, and the role of those with control.
+func (r *cluster) logVersions() {
+	for _, in := range r.insts {
+		role := "none"
+		if n := in.Control(); n != nil {
+			st := n.Status()
+			role = fmt.Sprintf("%s in term %d, commit %d", st.Role, st.Term, st.Commit)
+		}
+		r.t.Logf("%s: version %d, deadline %s, control: %s", in.Name(), in.Fleet().Version, in.Views().Resolve(fleet.Scope{Database: "app"}).Deadline, role)
+	}
+}
--- a/spread/peers.go
+++ b/spread/peers.go
@@ -19,13 +19,15 @@
 	readAt time.Time
 }
 
-// refreshPeers reads the list again after instances changed, at most once per
-// peerRefreshInterval, because the cost grows with the number of instances. If the
-// view lists no other instances, the seeds are used.
+// refreshPeers reads the list again after instances changed. The cost grows with the number of
+// instances, and so does the least time between two updates, up to peerRefreshInterval: an
+// instance that has just registered gets the next change. If the view lists no other instances, the
+// seeds are used.
 func (c *Core) refreshPeers(now time.Time) {
 	p := &c.peers
 	digest := c.View().KindDigest(state.KindInstance)
-	if !p.readAt.IsZero() && (digest == p.digest || now.Sub(p.readAt) < peerRefreshInterval) {
+	wait := min(peerRefreshInterval, time.Duration(len(p.local)+len(p.remote))*peerRefreshDelay)
+	if !p.readAt.IsZero() && (digest == p.digest || now.Sub(p.readAt) < wait) {
 		return
 	}
 	*p = peers{digest: digest, readAt: now}
@@ -81,17 +83,23 @@
 	return out
 }
 
-// randomPeer returns one random peer, or "" if there is none.
-func (c *Core) randomPeer(now time.Time) string {
+// randomPeer returns one random peer other than exclude, or exclude if it is the only one. It is "" if
+// there is none.
+func (c *Core) randomPeer(exclude string, now time.Time) string {
 	c.refreshPeers(now)
-	list := c.peers.local
-	if len(list) == 0 || len(c.peers.remote) > 0 && c.rnd.IntN(peersPerRemote) == 0 {
-		list = c.peers.remote
+	first, second := c.peers.local, c.peers.remote
+	if len(second) > 0 && c.rnd.IntN(peersPerRemote) == 0 {
+		first, second = second, first
 	}
-	if len(list) == 0 {
-		return ""
+	for _, list := range [][]string{first, second} {
+		if peer := c.sample(nil, list, 1, exclude); len(peer) > 0 {
+			return peer[0]
+		}
+	}
+	if slices.Contains(first, exclude) || slices.Contains(second, exclude) {
+		return exclude
 	}
-	return list[c.rnd.IntN(len(list))]
+	return ""
 }
 
 // hashName returns the FNV-1a hash of the name. It makes instances with the same seed
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -56,7 +56,8 @@
 	maxParts            = 4096      // Sections messages per answer
 	maxPinnedViews      = 4         // views kept for peers that fetch sections
 	pinDuration         = 5 * time.Second
-	peerRefreshInterval = time.Second // least time between two updates of the peer list
+	peerRefreshInterval = time.Second      // longest time for which the peer list is not updated
+	peerRefreshDelay    = time.Millisecond // this time, for each instance in the list
 )
 
 // Peer is an instance that takes part in the dissemination.
@@ -82,6 +83,7 @@
 	peers     peers
 	startup   *startupQuery
 	nextProbe time.Time
+	probed    string // peer to which the last periodic summary went
 	actions   []Action
 }
 
@@ -316,7 +318,7 @@
 	}
 	peer := c.gap.peer
 	if peer == "" {
-		peer = c.randomPeer(now)
+		peer = c.randomPeer("", now)
 	}
 	c.startPull(peer, now)
 	c.gap = gapWait{deadline: now.Add(PullTimeout)}
@@ -333,7 +335,9 @@
 		return
 	}
 	c.nextProbe = now.Add(c.interval)
-	if peer := c.randomPeer(now); peer != "" {
+	// Another peer than last time: the last one may lack the same change.
+	if peer := c.randomPeer(c.probed, now); peer != "" {
+		c.probed = peer
 		c.send(peer, c.summary(Probe))
 	}
 }
