--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -250,6 +250,21 @@
 	}
 }
 
+// TestLatestReadAfterSilence guards against a read of the latest state that is refused after all
+// connections have become silent, although new ones work: since the primary, which alone may serve
+// it, is left out after the first attempt, or since it is confirmed on a silent connection.
+func TestLatestReadAfterSilence(t *testing.T) {
+	s := startSite(t)
+	s.addEntry(t, withPolicy(t, func(p *fleet.Settings) { p.SilenceLimit = 100 * time.Millisecond }))
+	c := s.connect(t, 2, "&tamarackcross.deadline=3s&tamarackcross.read_bound=latest")
+	for range 12 { // opens connections and makes the duration of the statement shape known
+		mustRun(t, c, "SELECT v FROM t WHERE k = 'a'")
+	}
+	s.silenceConnections()
+	_, err := c.PgConn().Exec(testContext(t), "SELECT v FROM t WHERE k = 'a'").ReadAll()
+	expectEqual(t, "answer", "ok", describeError(err))
+}
+
 // TestDeadlineAndCancel guards against statements that run on after their deadline or
 // a cancel request, and against a cancel request that cancels the next statement of
 // the connection.
