--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -88,26 +88,10 @@
 	}
 }
 
-// runRound runs one round. If it fails on a connection that was open before, which may be silent, it
-// is repeated on a new one.
+// runRound runs one round. It reads the offset before the confirmation, which
+// thereby proves that the member was the primary when the offset was read.
 func (c *confirmer) runRound() (group.Position, error) {
-	reused := c.conn != nil
-	p, err := c.tryRound()
-	if err != nil && reused && c.db.srv.ctx.Err() == nil {
-		p, err = c.tryRound()
-	}
-	if e := errs.As(err); e != nil && e.Reason() == errs.ReasonUnknownDB {
-		return group.Position{}, e
-	}
-	if err != nil {
-		return group.Position{}, errs.New(errs.NotRun, errs.ReasonNoPrimary, "the primary could not be confirmed")
-	}
-	return p, nil
-}
-
-// tryRound reads the offset before the confirmation, which thereby proves that the member was the
-// primary when the offset was read. If that fails, the connection is closed.
-func (c *confirmer) tryRound() (group.Position, error) {
+	refused := errs.New(errs.NotRun, errs.ReasonNoPrimary, "the primary could not be confirmed")
 	ctx, stop := context.WithTimeout(c.db.srv.ctx, watchTimeout)
 	defer stop()
 	g, err := c.db.group()
@@ -115,14 +99,15 @@
 		return group.Position{}, err
 	}
 	if err := c.connect(ctx, g); err != nil {
-		return group.Position{}, err
+		return group.Position{}, refused
 	}
 	p, err := c.confirm(ctx, g)
 	if err != nil {
 		c.conn.Close()
 		c.conn = nil
+		return group.Position{}, refused
 	}
-	return p, err
+	return p, nil
 }
 
 func (c *confirmer) connect(ctx context.Context, g Group) error {
