ctrl: entries that have stopped are removed although no entry of their zone reports

Callers saw: once all entries of a zone are killed, no statement is served any more that needs the backend servers of this zone, e.g. a primary, at the entries of the other zones either, until an entry of the zone is back.

Cause: control keeps the registration of silent entries, and with it their ownership of servers, while less than half of the entries of the zone report, since the zone may be cut off. A zone whose entries have all stopped looked the same. Evidence: all workers and the position of the primary stand still for 20 s, and the log index at the entries left shows that the second entry was never removed. p1 passes if five requests fit into the slots that the others still hold.

Change: control dials a silent entry of such a zone, once a second each. If its machine refuses the connection, no process listens there, so that none acts as an owner: it is removed. A machine behind a partition does not answer.

--- a/ctrl/promoter.go
+++ b/ctrl/promoter.go
@@ -33,7 +33,8 @@
 	entries     map[string]liveEntry
 	lastReport  map[string]time.Time // time of the last report by entry
 	leaderSince time.Time            // first Tick as leader; zero if not the leader
-	removing    bool                 // a removal of a registration is in progress
+	removing    bool                 // a removal of a registration is in progress, or a check before it
+	stopChecks  map[string]time.Time // time of the last check whether a silent entry has stopped
 	view        *state.View
 	nextTick    time.Time
 }
@@ -76,6 +77,7 @@
 	p.databases = make(map[string]*supervisedDatabase)
 	p.entries = make(map[string]liveEntry)
 	p.lastReport = make(map[string]time.Time)
+	p.stopChecks = make(map[string]time.Time)
 	p.leaderSince = time.Time{}
 	p.view = nil
 	p.nextTick = time.Time{}
