mesh: control instances of earlier builds ignore sets of instances in reports

The sets go under keys of their own. An earlier build would have read them as numbers, and given up the whole call if one is too large, while control instances are replaced one after the other.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -67,10 +67,10 @@
 // own probes. A set of instances is a number in which bit i stands for Entries[i], and bit
 // len(Entries) for the control instance itself.
 type Gathered struct {
-	Entries   []uint32            `json:",omitempty"` // hashes of their names; an entry may change its home
-	HomeSince []int64             `json:",omitempty"` // when each of them chose this home, in ms of its clock
-	Probing   map[string]*big.Int `json:",omitempty"` // instances that probe the members of a service
-	Failing   []FailingMember     `json:",omitempty"`
+	Entries   []uint32            `json:",omitempty"`         // hashes of their names; an entry may change its home
+	HomeSince []int64             `json:",omitempty"`         // when each of them chose this home, in ms of its clock
+	Probing   map[string]*big.Int `json:"ProbedBy,omitempty"` // instances that probe the members of a service
+	Failing   []FailingMember     `json:"MissedBy,omitempty"`
 }
 
 // FailingMember is a backend server that some instances have had no answer from for so long that
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -56,8 +56,8 @@
 	maxParts            = 4096      // Sections messages per answer
 	maxPinnedViews      = 4         // views kept for peers that fetch sections
 	pinDuration         = 5 * time.Second
-	peerRefreshInterval = time.Second      // longest time for which the peer list is not updated
-	peerRefreshDelay    = time.Millisecond // this time, for each instance in the list
+	peerRefreshInterval = time.Second      // least time between two updates of the peer list, if it is long
+	peerRefreshDelay    = time.Millisecond // the same for each instance in the list, if it is short
 )
 
 // Peer is an instance that takes part in the dissemination.
