host: Close waits for the HTTP servers too

An HTTP server that is closed before its goroutine has begun to serve closes its listener in that goroutine. Close of both roles now waits for each server that closes its listener on its own.

--- a/host/control.go
+++ b/host/control.go
@@ -63,7 +63,7 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	ended      chan error // receives the result of each server and of the log
-	peersDone  chan error // receives the result of the server for other instances
+	served     chan error // receives the result of each server as well
 	dutyDone   chan error // receives the result of runDuty
 	configDone chan error // receives the result of followConfig
 }
@@ -72,7 +72,7 @@
 func StartControl(s Settings, p ControlDeps) (*Controller, error) {
 	c := &Controller{
 		settings: s, deps: p, incarnation: rand.Uint64() | 1, ledger: ledger.New(), roster: roster.New(),
-		reports: newReportTable(), leaderChanged: make(chan struct{}), ended: make(chan error, 3), peersDone: make(chan error, 1), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
+		reports: newReportTable(), leaderChanged: make(chan struct{}), ended: make(chan error, 3), served: make(chan error, servers), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	peerListener, err := mesh.Listen(c.ctx, s.PeerAddr)
@@ -100,12 +100,8 @@
 	}
 	c.clients.start(c.ctx, s.Seeds)
 	c.http = &http.Server{Handler: p.Handler(c), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
-	go func() {
-		err := ctrl.Serve(c.ctx, peerListener, mux, panicReport(p.Log, p.Stats))
-		c.ended <- err
-		c.peersDone <- err
-	}()
-	go func() { c.ended <- serveHTTP(c.http, apiListener) }()
+	go c.serve(func() error { return ctrl.Serve(c.ctx, peerListener, mux, panicReport(p.Log, p.Stats)) })
+	go c.serve(func() error { return serveHTTP(c.http, apiListener) })
 	go func() {
 		<-c.node.Done()
 		c.ended <- c.node.Err()
@@ -115,6 +111,13 @@
 	return c, nil
 }
 
+// serve runs a server and reports its end.
+func (c *Controller) serve(server func() error) {
+	err := server()
+	c.ended <- err
+	c.served <- err
+}
+
 // syncRequest returns the state that this instance sends to the other control instances.
 func (c *Controller) syncRequest() mesh.SyncRequest {
 	_, probed := c.probeResults()
@@ -171,7 +174,9 @@
 		prober.Close()
 	}
 	err = errors.Join(err, c.node.Close())
-	<-c.peersDone // its result went to Ended as well
+	for range servers {
+		<-c.served // the results went to Ended as well
+	}
 	return err
 }
 
--- a/host/entry.go
+++ b/host/entry.go
@@ -50,10 +50,10 @@
 	readyServer    *http.Server
 	leaving        atomic.Bool
 
-	ctx       context.Context
-	cancel    context.CancelFunc
-	ended     chan error // receives the result of each server
-	peersDone chan error // receives the result of the server for other instances
+	ctx    context.Context
+	cancel context.CancelFunc
+	ended  chan error // receives the result of each server
+	served chan error // receives the results of those for other instances and of the readiness probe as well
 }
 
 // filesPerSession is the number of file descriptors to reserve for a session: one for the
@@ -65,7 +65,7 @@
 	if p.Dial == nil {
 		p.Dial = mesh.Dial
 	}
-	e := &Entry{settings: s, deps: p, roster: roster.New(), ended: make(chan error, 3), peersDone: make(chan error, 1)}
+	e := &Entry{settings: s, deps: p, roster: roster.New(), ended: make(chan error, 3), served: make(chan error, servers)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.control = newControlClients("", s.Zone, p.Dial, p.Now, p.Log, p.Stats)
 	opts := []proxy.Option{
@@ -105,16 +105,22 @@
 	e.control.start(e.ctx, s.Seeds)
 	e.readyServer = &http.Server{Handler: p.Ready(e.Ready), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	go func() { e.ended <- e.server.Serve(e.ctx, callerListener, p.Open) }()
-	go func() { e.ended <- serveHTTP(e.readyServer, readyListener) }()
-	go func() {
-		err := ctrl.Serve(e.ctx, peerListener, mux, panicReport(p.Log, p.Stats))
-		e.ended <- err
-		e.peersDone <- err
-	}()
+	go e.serve(func() error { return serveHTTP(e.readyServer, readyListener) })
+	go e.serve(func() error { return ctrl.Serve(e.ctx, peerListener, mux, panicReport(p.Log, p.Stats)) })
 	go func() { e.config.done <- e.config.run(e.ctx) }()
 	return e, nil
 }
 
+// serve runs a server and reports its end.
+func (e *Entry) serve(server func() error) {
+	err := server()
+	e.ended <- err
+	e.served <- err
+}
+
+// servers is the number of servers of a role that close their listeners on their own.
+const servers = 2
+
 const (
 	httpHeaderTimeout = 3 * time.Second
 	httpIdleTimeout   = 15 * time.Second
@@ -273,7 +279,9 @@
 	e.control.close()
 	<-e.config.done
 	e.server.Close()
-	<-e.peersDone // its result went to Ended as well
+	for range servers {
+		<-e.served // the results went to Ended as well
+	}
 	e.proofs.close()
 	if err := e.peerClient.Close(); err != nil {
 		e.deps.Log.Debug().Err(err).Msg("closing connections to other instances failed; the entry role stops anyway")
