config, proxy: customers, their keys, and connections in their name

Change: a configuration may list customers with keys, priority, rate and burst, and public routes. The document holds digests of keys, never the keys, so no log line, error or dump of it can show one. The instance of the caller resolves the key when the session opens, again for each statement or transaction, and once more after a wait if the configuration has changed meanwhile: an unknown key is denied at once, a transaction whose key was taken away or moved is rolled back. Holders get the name of the customer, no key. Connections to backend servers are opened in the name of the customer, and a pooled one serves only that customer; the longest unused one of another customer is closed to make room. Without customers nothing changes, but that fairness between callers goes by a digest of what they present.

Evidence: scripts customers of TestProxy and TestForwarding (each change of keys with the session idle and in a transaction), cases of TestControl, TestKeysStaySecret.

--- a/config/config.go
+++ b/config/config.go
@@ -32,6 +32,7 @@
 	Timeout     time.Duration // of one statement
 	LatencyGoal time.Duration // latency objective of an operation
 	Priority    int           // 0 is the highest priority
+	Public      bool          // callers need no key
 }
 
 // Service is a group of backend servers, of which one is the primary.
@@ -48,6 +49,9 @@
 	Version  uint64
 	Routes   map[string]Route // by Route.Database
 	Services map[string]Service
+	// Customers lists the customers by name. It is nil if callers do not identify themselves.
+	Customers      map[string]Customer
+	customersByKey map[Key]string
 	// IdleTransactionTimeout is how long an open transaction may wait for its next
 	// statement. 0 means no limit.
 	IdleTransactionTimeout time.Duration
--- a/event/event.go
+++ b/event/event.go
@@ -36,6 +36,7 @@
 	RequiredAge = "need_age_ms" // time since the primary held that position
 	Lag         = "lag_ms"      // estimated replication lag of the member
 	Version     = "version"     // version of the configuration
+	Customer    = "customer"    // name of the customer of the caller
 	Holder      = "holder"      // instance that a request was forwarded to
 	Work        = "work"        // kind of work
 )
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -49,6 +49,7 @@
 // admissionRequest describes a request to the queue.
 type admissionRequest struct {
 	caller   string
+	customer string // in whose name a connection is needed
 	priority int
 	startBy  time.Time     // latest time at which it may start
 	expected time.Duration // how long it holds its permit, 0 if unknown
--- a/proxy/codec.go
+++ b/proxy/codec.go
@@ -12,7 +12,8 @@
 // Caller is the connection of a caller behind a codec. One goroutine uses it. Only
 // Interrupt and Close may be called from others.
 type Caller interface {
-	// ReadStartup reads the startup message of the caller.
+	// ReadStartup reads the startup message of the caller. user is what the caller presents to
+	// identify itself, which may be a secret.
 	ReadStartup(limit time.Duration) (database, user string, err error)
 	// Next reads a request. A limit of 0 means to wait without limit. A message that
 	// is too large gives ErrTooBig.
@@ -40,9 +41,10 @@
 
 // Target identifies the backend server to connect to.
 type Target struct {
-	Addr    string
-	Service string
-	ID      string
+	Addr     string
+	Service  string
+	ID       string
+	Customer string // in whose name the connection is opened; empty for that of the instance
 }
 
 // Dialer opens connections to backend servers. If the server refuses the connection,
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -28,7 +28,8 @@
 	NewUnit           bool // starts a new unit of work; what is left of the previous one is rolled back
 	Begin             *Begin
 	Database          string
-	User              string
+	Customer          string // in whose name the request runs; empty if callers need no key
+	Caller            string // distinguishes callers if there is no customer
 	Route             config.Route
 	Values            map[string]string
 	PreparedName      string
@@ -56,7 +57,7 @@
 // HandleForwarded serves the requests that another instance forwards through c.
 func (s *Server) HandleForwarded(c Caller) {
 	defer c.Close()
-	x := newSession(s, c, "", "")
+	x := newSession(s, c, "", identity{})
 	if !s.addSession(x) {
 		return
 	}
@@ -82,7 +83,7 @@
 	}
 	now := s.srv.now()
 	s.srv.service(d.Route.Service).actAsHolder(now)
-	s.database, s.user, s.forwardedRoute = d.Database, d.User, &d.Route
+	s.database, s.customer, s.identity.caller, s.forwardedRoute = d.Database, d.Customer, d.Caller, &d.Route
 	s.forwardedElapsed = d.Elapsed
 	if s.tx != nil && !maps.Equal(s.values, d.Values) {
 		s.tx.valuesChanged = true
@@ -116,7 +117,7 @@
 func (w *operation) forwardedRequest() Forwarded {
 	now, lastCommit := w.now(), w.session.lastCommits[w.route.Service]
 	d := Forwarded{
-		Database: w.session.database, User: w.session.user, Route: w.route, Values: w.session.values,
+		Database: w.session.database, Customer: w.session.customer, Caller: w.session.identity.caller, Route: w.route, Values: w.session.values,
 		LastCommit: lastCommit.position, Elapsed: now.Sub(w.arrived), Request: w.req,
 	}
 	if !lastCommit.position.IsZero() {
--- a/proxy/group_test.go
+++ b/proxy/group_test.go
@@ -55,7 +55,7 @@
 	}
 	m.conns++
 	m.openConns++
-	return &fakeConn{m: m, values: map[string]string{}, prepared: map[string]proxy.PreparedStatement{}, position: m.position}, nil
+	return &fakeConn{m: m, customer: t.Customer, values: map[string]string{}, prepared: map[string]proxy.PreparedStatement{}, position: m.position}, nil
 }
 
 // promote makes a member the primary of the next term, at its current position.
@@ -97,6 +97,7 @@
 
 type fakeConn struct {
 	m        *fakeMember
+	customer string
 	values   map[string]string
 	prepared map[string]proxy.PreparedStatement
 	inTx     bool
@@ -230,5 +231,8 @@
 	for _, name := range slices.Sorted(maps.Keys(c.values)) {
 		out += fmt.Sprintf(" %s=%s", name, c.values[name])
 	}
+	if c.customer != "" {
+		out += " as " + c.customer
+	}
 	return out
 }
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -35,6 +35,7 @@
 type backendConn struct {
 	Conn
 	member   *member
+	customer string // in whose name it was opened
 	values   map[string]string
 	prepared map[string]PreparedStatement
 	lastUsed time.Time
@@ -125,10 +126,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if c := m.takeIdle(); c != nil {
+	if c := m.takeIdle(a.customer); c != nil {
 		return &borrowedConn{c, permit}, nil
 	}
-	c, err := m.dial(ctx)
+	m.makeRoom()
+	c, err := m.dial(ctx, a.customer)
 	if err != nil {
 		permit.release()
 		return nil, err
@@ -189,18 +191,21 @@
 	m.connQueue.resize(limit)
 }
 
-// takeIdle returns the idle connection that was used last, so that the others reach
-// their idle timeout. It returns nil if there is none.
-func (m *member) takeIdle() *backendConn {
+// takeIdle returns the idle connection of the customer that was used last, so that the others
+// reach their idle timeout. It returns nil if there is none.
+func (m *member) takeIdle(customer string) *backendConn {
 	for {
 		m.mu.Lock()
-		n := len(m.idle)
-		if n == 0 {
+		n := len(m.idle) - 1
+		for n >= 0 && m.idle[n].customer != customer {
+			n--
+		}
+		if n < 0 {
 			m.mu.Unlock()
 			return nil
 		}
-		c := m.idle[n-1]
-		m.idle = m.idle[:n-1]
+		c := m.idle[n]
+		m.idle = slices.Delete(m.idle, n, n+1)
 		m.mu.Unlock()
 		if c.Alive() {
 			return c
@@ -209,13 +214,30 @@
 	}
 }
 
-func (m *member) dial(ctx context.Context) (*backendConn, error) {
+// makeRoom closes idle connections of other customers, the longest unused one first, so that
+// together with the connections in use, of which one is about to be opened, there are no more than
+// the quota allows.
+func (m *member) makeRoom() {
+	inUse, _ := m.connQueue.usage()
+	m.mu.Lock()
+	n := min(max(0, len(m.idle)+inUse-m.quota.limit), len(m.idle))
+	closing := slices.Clone(m.idle[:n])
+	m.idle = slices.Delete(m.idle, 0, n)
+	m.mu.Unlock()
+	for _, c := range closing {
+		_ = c.Close()
+	}
+}
+
+func (m *member) dial(ctx context.Context, customer string) (*backendConn, error) {
 	if !m.canDial() {
 		return nil, errs.New(errs.NotRun, errs.ReasonQueueFull, "the backend server accepts no more connections")
 	}
 	ctx, stop := context.WithTimeout(ctx, dialTimeout)
 	defer stop()
-	conn, err := m.dialer.Dial(ctx, m.target)
+	target := m.target
+	target.Customer = customer
+	conn, err := m.dialer.Dial(ctx, target)
 	if err != nil {
 		var f *Fault
 		if errors.As(err, &f) {
@@ -227,7 +249,7 @@
 		return nil, errs.New(errs.NotRun, errs.ReasonConnect, err.Error())
 	}
 	m.updateLag(m, conn.Position())
-	return &backendConn{Conn: conn, member: m, values: map[string]string{}, prepared: map[string]PreparedStatement{}}, nil
+	return &backendConn{Conn: conn, member: m, customer: customer, values: map[string]string{}, prepared: map[string]PreparedStatement{}}, nil
 }
 
 // put returns a connection to the pool, and its permit. A connection whose state is unknown is
@@ -304,6 +326,9 @@
 		return nil, err
 	}
 	defer permit.release()
+	if err := w.requireCustomer(); err != nil {
+		return nil, err
+	}
 	if w.needsLease {
 		if err := w.requireLease(m); err != nil {
 			return nil, err
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -62,7 +62,7 @@
 
 // admissionRequest describes the request to the admission queue of a backend server.
 func (w *operation) admissionRequest(expected time.Duration) admissionRequest {
-	return admissionRequest{caller: w.session.user, priority: w.priority(), startBy: w.admitBy(), expected: expected}
+	return admissionRequest{caller: w.session.flow(), customer: w.session.customer, priority: w.priority(), startBy: w.admitBy(), expected: expected}
 }
 
 // priority orders the requests that wait for a backend server: by the priority of the
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -23,6 +23,7 @@
 // fakeCaller is the codec of a caller whose requests come from a script.
 type fakeCaller struct {
 	database string
+	user     string
 	requests chan proxy.Request
 	answers  chan proxy.Answer
 	left     chan struct{}
@@ -30,7 +31,7 @@
 }
 
 func (c *fakeCaller) ReadStartup(time.Duration) (string, string, error) {
-	return c.database, "caller", nil
+	return c.database, cmp.Or(c.user, "caller"), nil
 }
 func (c *fakeCaller) SendReady() error { return nil }
 func (c *fakeCaller) Interrupt()       { c.once.Do(func() { close(c.left) }) }
@@ -197,7 +198,8 @@
 	r.server.Configure(r.document(lines))
 }
 
-// document returns a document with the given routes: "name freshness age".
+// document returns a document with the given routes, "name freshness age" or "public name
+// freshness age", and customers, "customer name key key".
 func (r *harness) document(lines string) *config.Document {
 	doc := &config.Document{
 		Version: max(1, r.version), Routes: map[string]config.Route{}, IdleTransactionTimeout: time.Second,
@@ -205,7 +207,15 @@
 	}
 	for line := range strings.SplitSeq(lines, "\n") {
 		f := strings.Fields(line)
-		route := config.Route{Database: f[0], Service: "db", Timeout: 400 * time.Millisecond, LatencyGoal: 400 * time.Millisecond}
+		if f[0] == "customer" {
+			r.addCustomer(doc, f[1], f[2:])
+			continue
+		}
+		public := f[0] == "public"
+		if public {
+			f = f[1:]
+		}
+		route := config.Route{Database: f[0], Service: "db", Timeout: 400 * time.Millisecond, LatencyGoal: 400 * time.Millisecond, Public: public}
 		switch f[1] {
 		case "bounded":
 			route.Freshness = config.Bounded
@@ -224,11 +234,21 @@
 	return doc
 }
 
-// open opens a session: "s1 database".
+func (r *harness) addCustomer(doc *config.Document, name string, secrets []string) {
+	keys := make([]config.Key, len(secrets))
+	for i, s := range secrets {
+		keys[i] = config.NewKey(s)
+	}
+	if err := doc.AddCustomer(config.Customer{Name: name}, keys...); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// open opens a session: "s1 database" or "s1 database key".
 func (r *harness) open(line string) string {
 	f := strings.Fields(line)
 	c := &fakeCaller{
-		database: f[1], requests: make(chan proxy.Request), answers: make(chan proxy.Answer, 1), left: make(chan struct{}),
+		database: f[1], user: strings.Join(f[2:], ""), requests: make(chan proxy.Request), answers: make(chan proxy.Answer, 1), left: make(chan struct{}),
 	}
 	r.opened <- c
 	r.conns <- nil
--- a/proxy/request_log.go
+++ b/proxy/request_log.go
@@ -21,8 +21,11 @@
 // logEvent begins a log line about the request, with the fields common to all of them.
 func (w *operation) logEvent(level zerolog.Level) *zerolog.Event {
 	now := w.now()
-	return w.session.srv.log.Request(level).Str(event.ID, w.req.ID).Str(event.Database, w.session.database).
-		Int(event.Attempts, w.attempts).Float64(event.Elapsed, ms(now.Sub(w.arrived))).Float64(event.TimeLeft, ms(w.deadline().Sub(now)))
+	e := w.session.srv.log.Request(level).Str(event.ID, w.req.ID).Str(event.Database, w.session.database)
+	if w.session.customer != "" {
+		e = e.Str(event.Customer, w.session.customer)
+	}
+	return e.Int(event.Attempts, w.attempts).Float64(event.Elapsed, ms(now.Sub(w.arrived))).Float64(event.TimeLeft, ms(w.deadline().Sub(now)))
 }
 
 // logSampled reports whether the log lines of this request are written. Those of
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -126,7 +126,7 @@
 			break
 		}
 	}
-	s.log.Info().Uint64(event.Version, doc.Version).Int("routes", len(doc.Routes)).Msg("configuration in force")
+	s.log.Info().Uint64(event.Version, doc.Version).Int("routes", len(doc.Routes)).Int("customers", len(doc.Customers)).Msg("configuration in force")
 	s.updateServices()
 }
 
@@ -304,7 +304,8 @@
 	if err != nil {
 		return
 	}
-	if f := s.checkDatabase(database); f != nil {
+	id := newIdentity(user)
+	if f := s.checkStartup(database, id); f != nil {
 		s.log.Request(zerolog.InfoLevel).Str(event.Database, database).Str(event.Code, f.Code.String()).Msg("session refused")
 		_ = c.Refuse(f)
 		return
@@ -313,7 +314,7 @@
 		_ = c.Refuse(leavingFault)
 		return
 	}
-	x := newSession(s, c, database, user)
+	x := newSession(s, c, database, id)
 	if !s.addSession(x) {
 		_ = c.Refuse(fault(Busy, "too many sessions, come back in 500 ms"))
 		return
@@ -325,15 +326,17 @@
 	x.serve(s.ctx)
 }
 
-func (s *Server) checkDatabase(database string) *Fault {
+func (s *Server) checkStartup(database string, id identity) *Fault {
 	doc := s.doc.Load()
 	if doc == nil {
 		return fault(Busy, "no configuration yet, come back in 500 ms")
 	}
-	if _, ok := doc.Routes[database]; !ok {
+	r, ok := doc.Routes[database]
+	if !ok {
 		return fault(NoDatabase, "no such database")
 	}
-	return nil
+	_, f := s.identify(id, r)
+	return f
 }
 
 func (s *Server) addSession(x *session) bool {
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -22,10 +22,12 @@
 // session is one caller connection. The fields above mu belong to the goroutine that
 // serves it.
 type session struct {
-	srv      *Server
-	caller   Caller
-	database string
-	user     string
+	srv          *Server
+	caller       Caller
+	database     string
+	identity     identity
+	customer     string           // in whose name the current statement or transaction runs; empty if callers need no key
+	identifiedBy *config.Document // by which customer was found
 
 	values      map[string]string
 	prepared    map[string]PreparedStatement
@@ -57,9 +59,9 @@
 	epoch         uint64 // of the lease under which it was opened for writes
 }
 
-func newSession(s *Server, c Caller, database, user string) *session {
+func newSession(s *Server, c Caller, database string, id identity) *session {
 	return &session{
-		srv: s, caller: c, database: database, user: user,
+		srv: s, caller: c, database: database, identity: id,
 		values: make(map[string]string), prepared: make(map[string]PreparedStatement), lastCommits: make(map[string]timedPosition),
 	}
 }
@@ -256,6 +258,9 @@
 	if !ok {
 		return s.refuse(fault(NoDatabase, "no such database"))
 	}
+	if f := s.identifyUnit(r); f != nil {
+		return s.refuse(f)
+	}
 	s.tx = &transaction{readOnly: st.ReadOnly, route: r, svc: s.srv.service(r.Service)}
 	return s.acknowledge()
 }
@@ -295,6 +300,9 @@
 func (s *session) run(ctx context.Context, req Request, writes bool, prepared string) Answer {
 	w := operation{session: s, req: req, writes: writes, preparedName: prepared, arrived: s.arrived()}
 	if s.tx != nil {
+		if f := s.checkCustomer(s.tx.route); f != nil {
+			return s.fail(f)
+		}
 		w.route, w.svc = s.tx.route, s.tx.svc
 		return w.runInTx(ctx)
 	}
@@ -302,6 +310,9 @@
 	if !ok {
 		return s.refuse(fault(NoDatabase, "no such database"))
 	}
+	if f := s.identifyUnit(r); f != nil {
+		return s.refuse(f)
+	}
 	w.route, w.svc = r, s.srv.service(r.Service)
 	if s.forwards(w.svc) {
 		if !writes {
@@ -357,6 +368,11 @@
 	if s.tx == nil {
 		return s.refuse(fault(BadRequest, "no transaction is open"))
 	}
+	if f := s.checkCustomer(s.tx.route); f != nil {
+		s.abort()
+		s.failed = false
+		return s.refuse(f)
+	}
 	w := operation{session: s, req: req, arrived: s.arrived(), route: s.tx.route, svc: s.tx.svc}
 	if s.tx.holderLink != nil || s.tx.conn == nil && s.forwards(w.svc) {
 		if a, ok := w.forwardTx(ctx, true); ok {
--- a/relay/fuzz_test.go
+++ b/relay/fuzz_test.go
@@ -11,7 +11,7 @@
 // FuzzRequest guards against a message of another instance that ends the process of a holder.
 func FuzzRequest(f *testing.F) {
 	h, err := encode(proxy.Forwarded{
-		Request: proxy.Request{ID: "1", Text: "write x 1", Statement: proxy.Write{}}, NewUnit: true, Database: "db", User: "u",
+		Request: proxy.Request{ID: "1", Text: "write x 1", Statement: proxy.Write{}}, NewUnit: true, Database: "db", Customer: "c", Caller: "u",
 		Route: config.Route{Service: "svc", Timeout: time.Second}, Begin: &proxy.Begin{ReadOnly: true}, Values: map[string]string{"a": "b"},
 	})
 	if err != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -76,7 +76,8 @@
 	PreparedText     string
 	PreparedWrites   bool // the prepared statement writes
 	Database         string
-	User             string
+	Customer         string
+	Caller           string
 	Service          string
 	Freshness        config.Freshness
 	MaxAge           time.Duration
@@ -165,7 +166,7 @@
 	h := &forwardedRequest{
 		NewUnit: d.NewUnit, Kind: k, ID: d.Request.ID, Text: d.Request.Text,
 		PreparedName: d.PreparedName, PreparedText: d.PreparedStatement.Text, PreparedWrites: d.PreparedStatement.Writes,
-		Database: d.Database, User: d.User,
+		Database: d.Database, Customer: d.Customer, Caller: d.Caller,
 		Service: d.Route.Service, Freshness: d.Route.Freshness, MaxAge: d.Route.MaxAge, Timeout: d.Route.Timeout,
 		LatencyGoal: d.Route.LatencyGoal, Priority: d.Route.Priority, Values: d.Values,
 		LastCommitTerm: d.LastCommit.Term, LastCommitOffset: d.LastCommit.Offset, LastCommitAge: d.LastCommitAge,
@@ -190,7 +191,7 @@
 		return proxy.Request{}, err
 	}
 	d := &proxy.Forwarded{
-		NewUnit: h.NewUnit, Database: h.Database, User: h.User, Values: h.Values,
+		NewUnit: h.NewUnit, Database: h.Database, Customer: h.Customer, Caller: h.Caller, Values: h.Values,
 		Route: config.Route{
 			Database: h.Database, Service: h.Service, Freshness: h.Freshness, MaxAge: h.MaxAge,
 			Timeout: h.Timeout, LatencyGoal: h.LatencyGoal, Priority: h.Priority,
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -60,7 +60,7 @@
 const limit = time.Second
 
 var request = proxy.Forwarded{
-	NewUnit: true, Begin: &proxy.Begin{ReadOnly: true}, Database: "d", User: "u",
+	NewUnit: true, Begin: &proxy.Begin{ReadOnly: true}, Database: "d", Customer: "c", Caller: "u",
 	Route: config.Route{
 		Database: "d", Service: "s", Freshness: config.Session, MaxAge: time.Second, Timeout: 2 * time.Second,
 		LatencyGoal: 300 * time.Millisecond, Priority: 2,
