--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -50,13 +50,20 @@
 type admissionRequest struct {
 	caller   string
 	customer string // in whose name a connection is needed
+	weight   float64
 	priority int
 	startBy  time.Time     // latest time at which it may start
 	expected time.Duration // how long it holds its permit, 0 if unknown
+	gone     func() bool   // reports whether the caller has left; nil if that is not known
 }
 
-// acquire waits for a permit until startBy. An errs.Error gives the reason of a
-// rejection.
+func (a admissionRequest) callerLeft() bool { return a.gone != nil && a.gone() }
+
+// goneCheckInterval is the time between checks whether the caller of a waiting request has left.
+const goneCheckInterval = 30 * time.Millisecond
+
+// acquire waits for a permit until startBy, or until the caller has left. An errs.Error gives the
+// reason of a rejection.
 func (l *admissionQueue) acquire(ctx context.Context, a admissionRequest) (permit, error) {
 	now := l.now()
 	ch := make(chan admit.Decision, 1)
@@ -65,19 +72,36 @@
 	id := l.nextID
 	l.waiting[id] = ch
 	l.deliver(l.queue.Offer(admit.Request{
-		ID: id, Caller: a.caller, Class: admit.Short, Arrived: now, Deadline: a.startBy, Expected: a.expected, Priority: a.priority,
+		ID: id, Caller: a.caller, Class: admit.Short, Arrived: now, Deadline: a.startBy, Expected: a.expected, Priority: a.priority, Weight: a.weight,
 	}, now))
 	l.mu.Unlock()
-	timer := time.NewTimer(a.startBy.Sub(now))
+	select {
+	case d := <-ch:
+		return l.permitOf(id, d)
+	default:
+	}
+	return l.await(ctx, id, a, ch)
+}
+
+// await waits for the decision on a request that did not get one at once.
+func (l *admissionQueue) await(ctx context.Context, id uint64, a admissionRequest, decided <-chan admit.Decision) (permit, error) {
+	timer := time.NewTimer(a.startBy.Sub(l.now()))
 	defer timer.Stop()
+	goneCheck := time.NewTicker(goneCheckInterval)
+	defer goneCheck.Stop()
+	checked := false
 	for {
 		select {
-		case d := <-ch:
-			switch d := d.(type) {
-			case admit.Start:
-				return permit{queue: l, id: id, start: l.now()}, nil
-			case admit.Refuse:
-				return permit{}, errs.New(errs.NotRun, d.Reason, "the admission queue of the backend server rejected the request", errs.WithRetryAfter(d.RetryAfter))
+		case d := <-decided:
+			p, err := l.permitOf(id, d)
+			if err == nil && checked && a.callerLeft() {
+				p.release()
+				err = errCallerLeft
+			}
+			return p, err
+		case <-goneCheck.C:
+			if checked = true; a.callerLeft() {
+				l.cancel(id)
 			}
 		case <-timer.C:
 			l.cancel(id)
@@ -87,6 +111,20 @@
 	}
 }
 
+// permitOf returns the permit that a decision grants.
+func (l *admissionQueue) permitOf(id uint64, d admit.Decision) (permit, error) {
+	switch d := d.(type) {
+	case admit.Start:
+		return permit{queue: l, id: id, start: l.now()}, nil
+	case admit.Refuse:
+		return permit{}, errs.New(errs.NotRun, d.Reason, "the admission queue of the backend server rejected the request", errs.WithRetryAfter(d.RetryAfter))
+	default:
+		return permit{}, errs.New(errs.NotRun, errs.ReasonQueueFull, "the admission queue made an unknown decision")
+	}
+}
+
+var errCallerLeft = errs.New(errs.NotRun, errs.ReasonCancelled, "the caller left while its request waited")
+
 // cancel ends the wait of a request. Its decision is delivered like any other.
 func (l *admissionQueue) cancel(id uint64) {
 	l.mu.Lock()
--- a/proxy/codec.go
+++ b/proxy/codec.go
@@ -24,6 +24,9 @@
 	Refuse(*Fault) error
 	// Reply answers the last request that Next returned.
 	Reply(Answer) error
+	// Gone reports whether the caller has closed its connection, as far as can be told without
+	// waiting. The goroutine that uses the connection calls it while it works on a request.
+	Gone() bool
 	// Interrupt makes this and later calls of Next return ErrInterrupted, unless a request
 	// has arrived or arrives soon.
 	Interrupt()
--- a/proxy/customer.go
+++ b/proxy/customer.go
@@ -33,25 +33,33 @@
 	return s.identity.caller
 }
 
+// flowWeight returns the weight of the flow. It is 0 where callers are not identified as customers.
+func (s *session) flowWeight() float64 {
+	if s.customer == "" {
+		return 0
+	}
+	return s.weight
+}
+
 var (
 	deniedFault        = fault(Denied, "not run: no customer that may use this database has the key")
 	customerMovedFault = fault(Aborted, "the key of the session belongs to another customer now")
 )
 
 // identify returns the customer in whose name requests on the route run, by the document in force.
-// It is empty where callers need no key.
-func (s *Server) identify(id identity, r config.Route) (customer string, f *Fault) {
+// It has no name where callers need no key.
+func (s *Server) identify(id identity, r config.Route) (config.Customer, *Fault) {
 	doc := s.doc.Load()
 	if doc == nil || doc.Customers == nil {
-		return "", nil
+		return config.Customer{}, nil
 	}
 	c, ok := doc.CustomerOf(id.key)
 	if !ok && !r.Public {
 		s.stats.Refused(errs.ReasonAuthentication)
 		s.log.Request(zerolog.InfoLevel).Str(event.Database, r.Database).Str(event.Code, Denied.String()).Msg("caller denied")
-		return "", deniedFault
+		return config.Customer{}, deniedFault
 	}
-	return c.Name, nil
+	return c, nil
 }
 
 // identifyUnit sets the customer of a statement outside a transaction, or of a transaction that
@@ -61,8 +69,8 @@
 		return nil
 	}
 	s.identifiedBy = s.srv.doc.Load()
-	customer, f := s.srv.identify(s.identity, r)
-	s.customer = customer
+	c, f := s.srv.identify(s.identity, r)
+	s.customer, s.weight, s.customerPriority = c.Name, c.Weight(), c.Priority
 	return f
 }
 
@@ -73,11 +81,11 @@
 	if s.forwardedRoute != nil || doc == s.identifiedBy {
 		return nil
 	}
-	customer, f := s.srv.identify(s.identity, r)
+	c, f := s.srv.identify(s.identity, r)
 	switch {
 	case f != nil:
 		return f
-	case customer != s.customer:
+	case c.Name != s.customer:
 		return customerMovedFault
 	}
 	s.identifiedBy = doc
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -28,7 +28,9 @@
 	NewUnit           bool // starts a new unit of work; what is left of the previous one is rolled back
 	Begin             *Begin
 	Database          string
-	Customer          string // in whose name the request runs; empty if callers need no key
+	Customer          string  // in whose name the request runs; empty if callers need no key
+	Weight            float64 // of the customer in queues
+	CustomerPriority  int
 	Caller            string // distinguishes callers if there is no customer
 	Route             config.Route
 	Values            map[string]string
@@ -83,7 +85,8 @@
 	}
 	now := s.srv.now()
 	s.srv.service(d.Route.Service).actAsHolder(now)
-	s.database, s.customer, s.identity.caller, s.forwardedRoute = d.Database, d.Customer, d.Caller, &d.Route
+	s.customer, s.weight, s.customerPriority = d.Customer, d.Weight, d.CustomerPriority
+	s.database, s.identity.caller, s.forwardedRoute = d.Database, d.Caller, &d.Route
 	s.forwardedElapsed = d.Elapsed
 	if s.tx != nil && !maps.Equal(s.values, d.Values) {
 		s.tx.valuesChanged = true
@@ -117,7 +120,7 @@
 func (w *operation) forwardedRequest() Forwarded {
 	now, lastCommit := w.now(), w.session.lastCommits[w.route.Service]
 	d := Forwarded{
-		Database: w.session.database, Customer: w.session.customer, Caller: w.session.identity.caller, Route: w.route, Values: w.session.values,
+		Database: w.session.database, Customer: w.session.customer, Weight: w.session.flowWeight(), CustomerPriority: w.session.customerPriority, Caller: w.session.identity.caller, Route: w.route, Values: w.session.values,
 		LastCommit: lastCommit.position, Elapsed: now.Sub(w.arrived), Request: w.req,
 	}
 	if !lastCommit.position.IsZero() {
@@ -151,7 +154,7 @@
 		}
 		w.recordHolderRetry(h, err)
 		tried = append(tried, h.peer.Name)
-		if !w.now().Before(w.admitBy()) {
+		if w.session.caller.Gone() || !w.now().Before(w.admitBy()) {
 			return w.session.refuse(w.reject(errs.ReasonDeadline)), true
 		}
 	}
@@ -191,7 +194,7 @@
 	}
 	w.svc.recordForwardSent()
 	sent := w.now()
-	a, err := h.exchange(d, limit, abortable)
+	a, err := h.exchange(d, limit, abortable, w.session.caller.Gone)
 	if err == nil && a.Proof != nil {
 		w.svc.recordHolderProof(*a.Proof, sent)
 	}
@@ -201,7 +204,7 @@
 // rollbackAtHolder rolls back the transaction at a holder and reports whether the
 // holder confirmed it.
 func (s *session) rollbackAtHolder(h *borrowedLink) bool {
-	_, err := h.exchange(Forwarded{Route: s.tx.route, Request: Request{Statement: Rollback{}}}, rollbackTimeout, true)
+	_, err := h.exchange(Forwarded{Route: s.tx.route, Request: Request{Statement: Rollback{}}}, rollbackTimeout, true, func() bool { return false })
 	return err == nil
 }
 
@@ -244,7 +247,7 @@
 		h.discard() // the holder rolls back what may have run
 		w.recordHolderRetry(h, err)
 		tried = append(tried, h.peer.Name)
-		if !w.now().Before(w.admitBy()) {
+		if w.session.caller.Gone() || !w.now().Before(w.admitBy()) {
 			return w.session.fail(w.reject(errs.ReasonDeadline)), true
 		}
 	}
--- a/proxy/forward_test.go
+++ b/proxy/forward_test.go
@@ -27,7 +27,9 @@
 	// number of next answers that are lost, and a holder that does not answer at all.
 	refuseNext, loseAnswers int
 	unreachable             bool
+	silent                  bool // it answers pings, but no request
 	processed               int
+	closedLinks             int
 }
 
 var errLost = errors.New("the link was lost")
@@ -73,6 +75,9 @@
 func (l *fakeLink) Alive() bool { return true }
 
 func (l *fakeLink) Close() error {
+	l.client.mu.Lock()
+	l.holder.closedLinks++
+	l.client.mu.Unlock()
 	l.caller.Interrupt()
 	return nil
 }
@@ -83,7 +88,7 @@
 	defer l.client.mu.Unlock()
 	h := l.holder
 	switch {
-	case h.unreachable:
+	case h.unreachable || h.silent:
 		return false, false, true
 	case h.refuseNext > 0:
 		h.refuseNext--
@@ -184,6 +189,8 @@
 			h.loseAnswers = 1
 		case "unreachable":
 			h.unreachable = f[2] == "1"
+		case "silent":
+			h.silent = true
 		default:
 			t.Fatalf("unknown fault %s", f[1])
 		}
@@ -269,3 +276,39 @@
 		t.Errorf("holders processed %d of the reads %q, want 1", n, answers)
 	}
 }
+
+// TestCallerLeavesWhileForwarded guards against a request that stays at a holder after its caller has
+// left: the link is closed, which tells the holder, and no other holder is asked.
+func TestCallerLeavesWhileForwarded(t *testing.T) {
+	p := newForwardingHarness(t)
+	p.addMember("m1 primary")
+	const routes = "lat latest"
+	for _, h := range p.peerClient.holders {
+		h.server.Configure(p.document(routes))
+		h.server.SetInstanceCount(1)
+	}
+	p.configure(routes)
+	p.open("s lat")
+	p.setHolderFault(t, "both silent")
+	c := p.sessions["s"]
+	c.requests <- proxy.Request{ID: "1", Text: "read x", Statement: proxy.Read{}}
+	c.gone.Store(true)
+	a := <-c.answers
+	if a.Fault == nil || a.Fault.Code != proxy.Busy {
+		t.Errorf("answer %+v, want that it has not run", a)
+	}
+	p.peerClient.mu.Lock()
+	defer p.peerClient.mu.Unlock()
+	var asked []string
+	for name, h := range p.peerClient.holders {
+		if h.closedLinks > 0 {
+			asked = append(asked, name)
+		}
+		if h.processed > 0 {
+			t.Errorf("holder %s processed the request", name)
+		}
+	}
+	if len(asked) != 1 {
+		t.Errorf("links to holders %v were closed, want that of one", asked)
+	}
+}
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -62,21 +62,25 @@
 
 // admissionRequest describes the request to the admission queue of a backend server.
 func (w *operation) admissionRequest(expected time.Duration) admissionRequest {
-	return admissionRequest{caller: w.session.flow(), customer: w.session.customer, priority: w.priority(), startBy: w.admitBy(), expected: expected}
+	return admissionRequest{caller: w.session.flow(), customer: w.session.customer, weight: w.session.flowWeight(), priority: w.priority(), startBy: w.admitBy(), expected: expected, gone: w.session.caller.Gone}
 }
 
+// customerPriorities is the number of priorities of customers that are told apart in queues.
+const customerPriorities = 8
+
 // priority orders the requests that wait for a backend server: by the priority of the
-// route, and at equal priority the statements of open transactions first, since these
-// hold a connection and locks. Lower values go first.
+// route, at equal priority the statements of open transactions first, since these
+// hold a connection and locks, and then by the priority of the customer. Lower values go first.
 func (w *operation) priority() int {
+	p := 2*w.route.Priority + 1
 	if tx := w.session.tx; tx != nil && tx.conn != nil {
-		return 2 * w.route.Priority
+		p--
 	}
-	return 2*w.route.Priority + 1
+	return p*customerPriorities + min(w.session.customerPriority, customerPriorities-1)
 }
 
 // backoff waits for d. It returns false at once if that would end after until, and
-// false when ctx ends.
+// false when ctx ends or the caller has left.
 func (w *operation) backoff(ctx context.Context, d time.Duration, until time.Time) bool {
 	if w.now().Add(d).After(until) {
 		return false
@@ -85,7 +89,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return true
+		return !w.session.caller.Gone()
 	case <-ctx.Done():
 		return false
 	}
@@ -257,7 +261,7 @@
 		if reason == "" {
 			return a
 		}
-		if w.notAdmitted && (w.route.Freshness == config.Latest || slices.Contains(exclude, p.member.target.ID)) {
+		if reason == errs.ReasonCancelled || w.notAdmitted && (w.route.Freshness == config.Latest || slices.Contains(exclude, p.member.target.ID)) {
 			return w.session.refuse(w.reject(reason))
 		}
 		w.recordRetry(reason, p.member)
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -275,13 +275,17 @@
 // exchange sends a request to the holder and waits for the answer. If none arrives
 // within silenceBeforePing, it has the holder pinged. A failed ping ends the wait
 // for an abortable request.
-func (d *borrowedLink) exchange(req Forwarded, limit time.Duration, abortable bool) (Answer, error) {
+// The link is closed if the caller leaves meanwhile: the holder then drops what it has not sent to a
+// backend server.
+func (d *borrowedLink) exchange(req Forwarded, limit time.Duration, abortable bool, gone func() bool) (Answer, error) {
 	e := d.peer
 	e.set.mu.Lock()
 	d.abortable = abortable
 	e.set.mu.Unlock()
 	silenceTimer := time.AfterFunc(silenceBeforePing, func() { e.set.checkHealth(e) })
 	defer silenceTimer.Stop()
+	stopWatch := closeWhenGone(d.link, gone)
+	defer stopWatch()
 	a, err := d.link.Exchange(req, limit)
 	now := e.set.srv.now()
 	e.set.mu.Lock()
@@ -293,6 +297,34 @@
 	return a, err
 }
 
+// closeWhenGone closes a link once gone reports that the caller has left. The returned function ends
+// the watch.
+func closeWhenGone(l Link, gone func() bool) (stop func()) {
+	var mu sync.Mutex
+	var timer *time.Timer
+	stopped := false
+	check := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case stopped:
+		case gone():
+			_ = l.Close()
+		default:
+			timer.Reset(goneCheckInterval)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(goneCheckInterval, check)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+	}
+}
+
 // checkHealth starts to ping a peer that was silent for silenceBeforePing, unless
 // this is under way. A peer that does not answer gets no requests until it does, and
 // requests that are safe to run elsewhere end with an error.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 	answers  chan proxy.Answer
 	left     chan struct{}
 	once     sync.Once
+	gone     atomic.Bool // the caller has closed its connection
 }
 
 func (c *fakeCaller) ReadStartup(time.Duration) (string, string, error) {
@@ -46,6 +48,9 @@
 	return nil
 }
 
+// Gone reports whether the script has made the caller leave.
+func (c *fakeCaller) Gone() bool { return c.gone.Load() }
+
 func (c *fakeCaller) Next(limit time.Duration) (proxy.Request, error) {
 	var idle <-chan time.Time
 	if limit > 0 {
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -22,12 +22,14 @@
 // session is one caller connection. The fields above mu belong to the goroutine that
 // serves it.
 type session struct {
-	srv          *Server
-	caller       Caller
-	database     string
-	identity     identity
-	customer     string           // in whose name the current statement or transaction runs; empty if callers need no key
-	identifiedBy *config.Document // by which customer was found
+	srv              *Server
+	caller           Caller
+	database         string
+	identity         identity
+	customer         string  // in whose name the current statement or transaction runs; empty if callers need no key
+	weight           float64 // of the customer in queues
+	customerPriority int
+	identifiedBy     *config.Document // by which customer was found
 
 	values      map[string]string
 	prepared    map[string]PreparedStatement
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -93,7 +93,7 @@
 			return nil
 		}
 		primaryOnly := !w.session.tx.readOnly || w.route.Freshness == config.Latest
-		if w.notAdmitted && (primaryOnly || slices.Contains(exclude, p.member.target.ID)) {
+		if reason == errs.ReasonCancelled || w.notAdmitted && (primaryOnly || slices.Contains(exclude, p.member.target.ID)) {
 			return w.reject(reason)
 		}
 		w.recordRetry(reason, p.member)
--- a/relay/holder.go
+++ b/relay/holder.go
@@ -146,6 +146,9 @@
 // Reply answers the last request that Next returned.
 func (c *codec) Reply(a proxy.Answer) error { return c.stream.MsgSend(encodeAnswer(a), encoding{}) }
 
+// Gone reports whether the other instance has closed the link, as it does when its caller leaves.
+func (c *codec) Gone() bool { return isClosed(c.stream.Context().Done()) }
+
 // Interrupt makes Next return ErrInterrupted. Close then says that no request was taken.
 func (c *codec) Interrupt() { c.once.Do(func() { close(c.interrupted) }) }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,6 +77,8 @@
 	PreparedWrites   bool // the prepared statement writes
 	Database         string
 	Customer         string
+	Weight           float64
+	CustomerPriority int
 	Caller           string
 	Service          string
 	Freshness        config.Freshness
@@ -166,7 +168,7 @@
 	h := &forwardedRequest{
 		NewUnit: d.NewUnit, Kind: k, ID: d.Request.ID, Text: d.Request.Text,
 		PreparedName: d.PreparedName, PreparedText: d.PreparedStatement.Text, PreparedWrites: d.PreparedStatement.Writes,
-		Database: d.Database, Customer: d.Customer, Caller: d.Caller,
+		Database: d.Database, Customer: d.Customer, Weight: d.Weight, CustomerPriority: d.CustomerPriority, Caller: d.Caller,
 		Service: d.Route.Service, Freshness: d.Route.Freshness, MaxAge: d.Route.MaxAge, Timeout: d.Route.Timeout,
 		LatencyGoal: d.Route.LatencyGoal, Priority: d.Route.Priority, Values: d.Values,
 		LastCommitTerm: d.LastCommit.Term, LastCommitOffset: d.LastCommit.Offset, LastCommitAge: d.LastCommitAge,
@@ -191,7 +193,7 @@
 		return proxy.Request{}, err
 	}
 	d := &proxy.Forwarded{
-		NewUnit: h.NewUnit, Database: h.Database, Customer: h.Customer, Caller: h.Caller, Values: h.Values,
+		NewUnit: h.NewUnit, Database: h.Database, Customer: h.Customer, Weight: h.Weight, CustomerPriority: h.CustomerPriority, Caller: h.Caller, Values: h.Values,
 		Route: config.Route{
 			Database: h.Database, Service: h.Service, Freshness: h.Freshness, MaxAge: h.MaxAge,
 			Timeout: h.Timeout, LatencyGoal: h.LatencyGoal, Priority: h.Priority,
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -60,7 +60,7 @@
 const limit = time.Second
 
 var request = proxy.Forwarded{
-	NewUnit: true, Begin: &proxy.Begin{ReadOnly: true}, Database: "d", Customer: "c", Caller: "u",
+	NewUnit: true, Begin: &proxy.Begin{ReadOnly: true}, Database: "d", Customer: "c", Weight: 2.5, CustomerPriority: 1, Caller: "u",
 	Route: config.Route{
 		Database: "d", Service: "s", Freshness: config.Session, MaxAge: time.Second, Timeout: 2 * time.Second,
 		LatencyGoal: 300 * time.Millisecond, Priority: 2,
@@ -198,3 +198,36 @@
 		t.Fatal("a port without a listener answered")
 	}
 }
+
+// TestCallerGone guards against a holder that works on for a caller that has left: closing the link
+// must show at the holder while it works on a request.
+func TestCallerGone(t *testing.T) {
+	arrived, gone := make(chan bool, 1), make(chan bool, 1)
+	addr, _ := startHolder(t, stubHolder{handle: func(c proxy.Caller) {
+		if _, err := c.Next(0); err != nil {
+			t.Error(err)
+			return
+		}
+		arrived <- c.Gone()
+		for end := time.Now().Add(10 * time.Second); !c.Gone() && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		gone <- c.Gone()
+	}})
+	l := openLink(t, addr)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := l.Exchange(request, time.Minute)
+		ended <- err
+	}()
+	if <-arrived {
+		t.Error("the caller counts as gone while the link is open")
+	}
+	_ = l.Close()
+	if !<-gone {
+		t.Error("the caller does not count as gone after the link was closed")
+	}
+	if err := <-ended; err == nil {
+		t.Error("the exchange succeeded")
+	}
+}
