--- a/config/config.go
+++ b/config/config.go
@@ -51,7 +51,7 @@
 	Services map[string]Service
 	// Customers lists the customers by name. It is nil if callers do not identify themselves.
 	Customers      map[string]Customer
-	customersByKey map[Key]string
+	customersByKey map[Key]Customer
 	// IdleTransactionTimeout is how long an open transaction may wait for its next
 	// statement. 0 means no limit.
 	IdleTransactionTimeout time.Duration
--- a/config/customer.go
+++ b/config/customer.go
@@ -44,7 +44,7 @@
 // routes.
 func (d *Document) IdentifyCallers() {
 	if d.Customers == nil {
-		d.Customers, d.customersByKey = make(map[string]Customer), make(map[Key]string)
+		d.Customers, d.customersByKey = make(map[string]Customer), make(map[Key]Customer)
 	}
 }
 
@@ -61,10 +61,10 @@
 		return eris.Errorf("customer %q: rate, burst and priority must not be negative", c.Name)
 	}
 	for _, k := range keys {
-		if other, shared := d.customersByKey[k]; shared && other != c.Name {
-			return eris.Errorf("customers %q and %q share a key", other, c.Name)
+		if other, shared := d.customersByKey[k]; shared && other.Name != c.Name {
+			return eris.Errorf("customers %q and %q share a key", other.Name, c.Name)
 		}
-		d.customersByKey[k] = c.Name
+		d.customersByKey[k] = c
 	}
 	d.Customers[c.Name] = c
 	return nil
@@ -72,8 +72,8 @@
 
 // CustomerOf returns the customer that a key belongs to.
 func (d *Document) CustomerOf(k Key) (Customer, bool) {
-	name, ok := d.customersByKey[k]
-	return d.Customers[name], ok
+	c, ok := d.customersByKey[k]
+	return c, ok
 }
 
 // isBlankOrControl reports whether a name that contains r cannot be sent to backend servers, whose
