proxy: TestPermitsAreGivenBack tries again when the queue refuses

Cause: a queue that stands for 250 ms refuses, which is its design; the test took any refusal for a failure. It now counts only uses that were admitted, as many as before, and still checks that no permit is missing.

--- a/proxy/permit_test.go
+++ b/proxy/permit_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"tamarackcross/errs"
 	"tamarackcross/group"
 	"tamarackcross/roster"
 )
@@ -40,13 +41,17 @@
 			var wg sync.WaitGroup
 			for i := range sessions {
 				wg.Go(func() {
-					for n := range uses {
+					for n := 0; n < uses; {
 						c, err := m.borrow(t.Context(), admissionRequest{caller: fmt.Sprint(i), startBy: time.Now().Add(time.Minute)})
+						if e := errs.As(err); e != nil && e.Reason() == errs.ReasonQueueFull {
+							continue // on a busy machine the queue stands, and refuses what it may
+						}
 						if err != nil {
 							t.Error(err)
 							return
 						}
 						m.put(c, n%50 != 0)
+						n++
 					}
 				})
 			}
