cmds, config: config check finds errors and oddities of a configuration before it is sent

What operators saw: control names the first error of a configuration and nothing else; a route that can never match, a customer without a key or a limit that contradicts another one showed only in what callers got.

Change: a configuration is decoded into a draft, which keeps what the document leaves out. Control takes the first error of the draft, the command all of them, with warnings and the difference to a version in force: one copy of the checks.

Evidence: script config of TestScript, TestConfigCheckAgainstControl.

--- a/cmds/run.go
+++ b/cmds/run.go
@@ -16,6 +16,8 @@
 	ExitUsage     = 2 // the command line or a setting is invalid
 	ExitViolation = 3 // a check found a violated guarantee
 	ExitDamaged   = 4 // the data directory is damaged
+	// ExitUnreachable means that an instance that the command needs cannot be reached.
+	ExitUnreachable = 5
 )
 
 // command is a subcommand. register adds its description and flags; run executes
@@ -37,6 +39,7 @@
 		&devCommand{},
 		&capacityCommand{},
 		&hostedCommand{},
+		&configCommand{},
 		&traceCommand{},
 		&versionCommand{},
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -2,11 +2,7 @@
 // use, the services that serve them, and the limits that apply.
 package config
 
-import (
-	"time"
-
-	"github.com/rotisserie/eris"
-)
+import "time"
 
 // Freshness is the guarantee of a database for its reads. Values are sent to other
 // instances as numbers and must not change.
@@ -20,6 +16,8 @@
 	Bounded
 	// Session reads are Bounded reads that also see the commits of their own session.
 	Session
+	// UnknownFreshness is that of a route that is not valid.
+	UnknownFreshness Freshness = 255
 )
 
 // Route maps the name of a database, as callers use it, to the service that serves it.
@@ -56,14 +54,3 @@
 	// statement. 0 means no limit.
 	IdleTransactionTimeout time.Duration
 }
-
-// CheckRoute returns an error if the route is not valid in the document.
-func (d *Document) CheckRoute(r Route) error {
-	if _, ok := d.Services[r.Service]; !ok {
-		return eris.Errorf("route of database %q names unknown service %q", r.Database, r.Service)
-	}
-	if r.Timeout <= 0 {
-		return eris.Errorf("route of database %q has no timeout", r.Database)
-	}
-	return nil
-}
