entry: a read of the latest state is confirmed only for the primary that served it

Cause: a round told only a position. (1) A read served by a primary that had been replaced was confirmed by its successor, whose position compares as newer. (2) Control logs a new primary before it promotes it. A read that the chosen member served as a replica, which may not have applied what it holds, was confirmed by the same member in the same term once it was promoted.

Evidence: TestLatestReadOfFormerPrimary and TestLatestReadBeforePromotion read old data in 5 of 5 runs each before.

Change: a round tells the member and the term that it confirms; a read accepts only those under which it began.

--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -27,9 +27,17 @@
 
 // round is one majority round and its result.
 type round struct {
-	done     chan struct{}
+	done   chan struct{}
+	result confirmation
+	err    error
+}
+
+// confirmation is the result of a round: member was the primary of term during the round, and held
+// position when it began.
+type confirmation struct {
+	member   *member
+	term     uint64
 	position group.Position
-	err      error
 }
 
 func (c *confirmer) init(db *database) { c.db = db }
@@ -47,10 +55,16 @@
 // currentPosition returns a position of the primary that covers every write
 // acknowledged before the call.
 func (c *confirmer) currentPosition(ctx context.Context) (group.Position, error) {
+	r, err := c.confirmPrimary(ctx)
+	return r.position, err
+}
+
+// confirmPrimary returns the result of a round that begins after the call.
+func (c *confirmer) confirmPrimary(ctx context.Context) (confirmation, error) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		return group.Position{}, errs.New(errs.NotRun, errs.ReasonShutdown, "instance is shutting down")
+		return confirmation{}, errs.New(errs.NotRun, errs.ReasonShutdown, "instance is shutting down")
 	}
 	if c.next == nil {
 		c.next = &round{done: make(chan struct{})}
@@ -64,9 +78,9 @@
 	c.mu.Unlock()
 	select {
 	case <-r.done:
-		return r.position, r.err
+		return r.result, r.err
 	case <-ctx.Done():
-		return group.Position{}, ctx.Err()
+		return confirmation{}, ctx.Err()
 	}
 }
 
@@ -83,51 +97,54 @@
 			return
 		}
 		c.mu.Unlock()
-		r.position, r.err = c.runRound()
+		r.result, r.err = c.runRound()
 		close(r.done)
 	}
 }
 
 // runRound runs one round. It reads the offset before the confirmation, which
 // thereby proves that the member was the primary when the offset was read.
-func (c *confirmer) runRound() (group.Position, error) {
+func (c *confirmer) runRound() (confirmation, error) {
 	refused := errs.New(errs.NotRun, errs.ReasonNoPrimary, "the primary could not be confirmed")
 	ctx, stop := context.WithTimeout(c.db.srv.ctx, watchTimeout)
 	defer stop()
 	g, err := c.db.group()
 	if err != nil {
-		return group.Position{}, err
+		return confirmation{}, err
 	}
-	if err := c.connect(ctx, g); err != nil {
-		return group.Position{}, refused
+	m, err := c.connect(ctx, g)
+	if err != nil {
+		return confirmation{}, refused
 	}
 	p, err := c.confirm(ctx, g)
 	if err != nil {
 		c.conn.Close()
 		c.conn = nil
-		return group.Position{}, refused
+		return confirmation{}, refused
 	}
-	return p, nil
+	return confirmation{member: m, term: g.Term, position: p}, nil
 }
 
-func (c *confirmer) connect(ctx context.Context, g Group) error {
+// connect opens a connection to the primary unless one is open, and returns the primary.
+func (c *confirmer) connect(ctx context.Context, g Group) (*member, error) {
 	b, ok := g.Member(g.Primary)
 	if !ok {
-		return errPrimaryReplaced
+		return nil, errPrimaryReplaced
 	}
+	m := c.db.member(b)
 	if c.conn != nil && c.addr == b.Addr {
-		return nil
+		return m, nil
 	}
 	if c.conn != nil {
 		c.conn.Close()
 		c.conn = nil
 	}
-	conn, err := c.db.member(b).dialControl(ctx)
+	conn, err := m.dialControl(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	c.conn, c.addr = conn, b.Addr
-	return nil
+	return m, nil
 }
 
 func (c *confirmer) confirm(ctx context.Context, g Group) (group.Position, error) {
--- /dev/null
+++ b/entry/confirm_test.go
@@ -0,0 +1,181 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"tamarackcross/entry"
+	"tamarackcross/group"
+)
+
+// answerDialer stops the entry once, while it reads the answer to a statement that contains text,
+// as soon as more than min bytes of the answer have arrived.
+type answerDialer struct {
+	text    string
+	min     int
+	armed   atomic.Bool
+	reached chan struct{} // closed when the entry stands still
+	resume  chan struct{} // closed when it may go on
+}
+
+func newAnswerDialer(text string, min int) *answerDialer {
+	return &answerDialer{text: text, min: min, reached: make(chan struct{}), resume: make(chan struct{})}
+}
+
+func (d *answerDialer) dial(ctx context.Context, addr string) (net.Conn, error) {
+	var nd net.Dialer
+	nc, err := nd.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &answerConn{Conn: nc, dialer: d}, nil
+}
+
+// runWith runs the statement and calls step while the entry stands still. It returns the first value
+// of the result and a description of the error.
+func (d *answerDialer) runWith(t *testing.T, c *pgx.Conn, step func()) (value, outcome string) {
+	t.Helper()
+	type answer struct{ value, outcome string }
+	done := make(chan answer, 1)
+	ctx := testContext(t)
+	d.armed.Store(true)
+	go func() {
+		rs, err := c.PgConn().Exec(ctx, d.text).ReadAll()
+		a := answer{outcome: describeError(err)}
+		if err == nil && len(rs[0].Rows) > 0 {
+			a.value = string(rs[0].Rows[0][0])
+		}
+		done <- a
+	}()
+	select {
+	case <-d.reached:
+		step()
+		close(d.resume)
+		a := <-done
+		return a.value, a.outcome
+	case a := <-done:
+		t.Fatalf("the answer was not held up: %v", a)
+	}
+	return "", ""
+}
+
+type answerConn struct {
+	net.Conn
+	dialer *answerDialer
+	sent   atomic.Bool
+	bytes  int
+}
+
+func (c *answerConn) Write(b []byte) (int, error) {
+	if c.dialer.armed.Load() && bytes.Contains(b, []byte(c.dialer.text)) {
+		c.sent.Store(true)
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *answerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if !c.sent.Load() {
+		return n, err
+	}
+	c.bytes += n
+	if c.bytes > c.dialer.min && c.dialer.armed.CompareAndSwap(true, false) {
+		close(c.dialer.reached)
+		<-c.dialer.resume
+	}
+	return n, err
+}
+
+// failover is a change of primary from the first member of a site to the second one, in steps. The
+// first member is not told, as if it were cut off from control and from the other members.
+type failover struct {
+	t    *testing.T
+	s    *site
+	next entry.Group
+}
+
+// startFailover fences the replicas, once they hold all that the first member holds, and chooses the
+// second member.
+func startFailover(t *testing.T, s *site) *failover {
+	t.Helper()
+	start := s.group.Member(0).Status().Held
+	for i := 1; i <= 2; i++ {
+		eventually(t, "a replica does not receive all", func() bool { return s.group.Member(i).Status().Held == start })
+		if _, err := s.group.Member(i).Fence(2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next, _ := s.dir.Group("app")
+	h, err := next.History.Append(group.TermStart{Term: 2, Offset: start.Offset})
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Term, next.History, next.Primary = 2, h, s.group.Member(1).Name()
+	return &failover{t: t, s: s, next: next}
+}
+
+// promote makes the second member the primary, which the third one follows.
+func (f *failover) promote() {
+	f.t.Helper()
+	if err := f.s.group.Member(1).Promote(2, f.next.History); err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := f.s.group.Member(2).Follow(testContext(f.t), 2, f.s.group.Addr(1)); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// announce tells the entries of the new primary.
+func (f *failover) announce() { f.s.dir.Set(f.next) }
+
+// connectMember returns a connection to a member itself.
+func connectMember(t *testing.T, s *site, i int) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.Connect(testContext(t), "postgres://app@"+s.group.Addr(i)+"/app?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+const (
+	valueRead    = "SELECT v FROM t WHERE k = 'x'"
+	latestParams = "&tamarackcross.deadline=3s&tamarackcross.read_bound=latest"
+)
+
+// TestLatestReadOfFormerPrimary guards against a read of the latest state that a primary serves
+// which has been replaced before, and that its successor confirms.
+func TestLatestReadOfFormerPrimary(t *testing.T) {
+	s := startSite(t)
+	d := newAnswerDialer(valueRead, 0)
+	s.addEntry(t, entry.WithDial(d.dial))
+	c := s.connect(t, 2, latestParams)
+	mustRun(t, c, "INSERT INTO t (k, v) VALUES ('x', 'old')")
+	f := startFailover(t, s)
+	f.promote()
+	mustRun(t, connectMember(t, s, 1), "UPDATE t SET v = 'new' WHERE k = 'x'")
+	value, outcome := d.runWith(t, c, f.announce)
+	expectEqual(t, "answer", "new ok", value+" "+outcome)
+}
+
+// TestLatestReadBeforePromotion guards against a read of the latest state that the primary of a new
+// term serves before its promotion, while it has not applied all it holds, and confirms after it.
+func TestLatestReadBeforePromotion(t *testing.T) {
+	s := startSite(t)
+	d := newAnswerDialer(valueRead, 0)
+	s.addEntry(t, entry.WithDial(d.dial))
+	c := s.connect(t, 2, latestParams)
+	s.group.Member(1).SetApplyLag(time.Hour)
+	mustRun(t, c, "INSERT INTO t (k, v) VALUES ('x', 'new')")
+	f := startFailover(t, s)
+	f.announce()
+	value, outcome := d.runWith(t, c, f.promote)
+	expectEqual(t, "answer", "new ok", value+" "+outcome)
+}
--- a/entry/durability.go
+++ b/entry/durability.go
@@ -63,18 +63,28 @@
 }
 
 // confirmLatest confirms by a majority round that the member was still the primary
-// when it served the read.
+// when it served the read. A confirmation of its successor, or of the member itself in
+// a later term, proves nothing.
 func (c *session) confirmLatest(ctx context.Context, x *execution) error {
-	p, err := x.conn.member.db.confirmer.currentPosition(ctx)
+	r, err := x.conn.member.db.confirmer.confirmPrimary(ctx)
 	if err != nil {
 		return asError(err)
 	}
-	if x.hasPosition && p.Less(x.position) {
+	if r.member != x.conn.member || r.term != x.term || r.position.Less(x.position) {
 		return errs.New(errs.NotRun, errs.ReasonNoPrimary, "the primary was replaced during the read")
 	}
 	return nil
 }
 
+// isPrimarySnapshot reports whether the snapshot of the execution is one of the
+// primary. A member that was chosen for a term serves reads as a replica until it is
+// promoted, and may not have applied yet what it holds. A snapshot from before the
+// promotion is as good if it covers the start of the term.
+func (x *execution) isPrimarySnapshot() bool {
+	g, ok := x.session.srv.dir.Group(x.session.database)
+	return ok && x.primaryAtStart && g.Term == x.term && g.History.CoversTermStart(x.position)
+}
+
 // unknownOutcome returns the error for a write whose outcome cannot be determined.
 func (c *session) unknownOutcome(reason errs.Reason, text string) *errs.Error {
 	return errs.New(errs.Unknown, reason, text, errs.WithKey(c.settings.key))
@@ -119,6 +129,13 @@
 
 // isPrimary reports whether the member is the primary according to the directory.
 func (m *member) isPrimary() bool {
+	_, primary := m.role()
+	return primary
+}
+
+// role returns the term of the group and whether the member is its primary, according
+// to the directory.
+func (m *member) role() (term uint64, primary bool) {
 	g, ok := m.db.srv.dir.Group(m.db.name)
-	return ok && g.Primary == m.name
+	return g.Term, ok && g.Primary == m.name
 }
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -68,7 +68,9 @@
 	slotID       uint64    // slot in use, 0 if none
 	startedAt    time.Time // when the execution began
 	markedLong   bool      // the request was reclassified as long in the admission queue
-	// primaryAtStart is whether the member was the primary when the execution began.
+	// term is the term of the group when the execution began, and primaryAtStart is whether the
+	// member was its primary then.
+	term           uint64
 	primaryAtStart bool
 	callerFrameCut bool // a frame was sent to the caller only in part
 	forceSync      bool // end with Sync even if the caller sent Flush
@@ -77,11 +79,15 @@
 // errBelowBound is the error of a read whose snapshot is older than its read bound.
 var errBelowBound = errs.New(errs.NotRun, errs.ReasonBelowBound, "snapshot is older than the bound")
 
+// errNotPrimarySnapshot is the error of a read of the latest state that no primary of the current
+// term served.
+var errNotPrimarySnapshot = errs.New(errs.NotRun, errs.ReasonStalePrimary, "the member was not the primary")
+
 // run sends the request and relays its answer. The error is nil when a complete
 // answer was received, even if that is an error response.
 func (x *execution) run(ctx context.Context) error {
 	defer x.recordSettings()
-	x.primaryAtStart = x.conn.member.isPrimary()
+	x.term, x.primaryAtStart = x.conn.member.role()
 	x.startedAt = time.Now()
 	if err := x.sendAll(); err != nil {
 		x.conn.tainted = true
@@ -317,6 +323,9 @@
 	if x.snapshotChecked || x.req.noExecute {
 		return nil
 	}
+	if x.req.latest && !x.isPrimarySnapshot() {
+		return errNotPrimarySnapshot
+	}
 	if !x.session.snapshotCovers(x.position, x.req.requiredPosition) {
 		return errBelowBound
 	}
--- a/entry/route.go
+++ b/entry/route.go
@@ -79,6 +79,9 @@
 	}
 	bound, err := c.bound(ctx, db, req)
 	q.Bound = bound
+	if _, latest := bound.(group.LatestBound); latest {
+		q.Exclude = nil // likewise
+	}
 	return q, err
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -81,7 +81,8 @@
 }
 
 func (c *session) newExecution(b *backendConn, req *request) *execution {
-	return &execution{session: c, conn: b, req: req, snapshotChecked: req.requiredPosition.IsZero() && !(c.tx == nil && req.needsPrimary())}
+	checked := req.requiredPosition.IsZero() && !req.latest && !(c.tx == nil && req.needsPrimary())
+	return &execution{session: c, conn: b, req: req, snapshotChecked: checked}
 }
 
 // execute runs x and makes its connection known to cancel requests meanwhile.
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -27,6 +27,8 @@
 					fmt.Fprintf(&out, "term=%d %s\n", h.Term(), h)
 				case "contains":
 					fmt.Fprintf(&out, "%s %s\n", line, h.StateOf(position(t, line)))
+				case "covers-term-start":
+					fmt.Fprintf(&out, "%s %v\n", line, h.CoversTermStart(position(t, line)))
 				case "clip":
 					fmt.Fprintf(&out, "%s -> %s\n", line, h.Clip(position(t, line)))
 				case "less":
--- a/group/history.go
+++ b/group/history.go
@@ -91,6 +91,14 @@
 	return Kept
 }
 
+// CoversTermStart reports whether p is part of the log, at or beyond the start of the newest term.
+func (h History) CoversTermStart(p Position) bool {
+	if h.StateOf(p) != Kept {
+		return false
+	}
+	return len(h.starts) == 0 || p.Offset >= h.starts[len(h.starts)-1].Offset
+}
+
 // String formats the history as "term@offset" fields separated by commas.
 func (h History) String() string {
 	fields := make([]string, 0, len(h.starts))
