entry: a round of confirmation is repeated on a new connection

Callers saw: after open connections have become silent for good, a read of the latest state is refused with most of its time left, although new connections work.

--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -102,10 +102,26 @@
 	}
 }
 
-// runRound runs one round. It reads the offset before the confirmation, which
-// thereby proves that the member was the primary when the offset was read.
+// runRound runs one round. If it fails on a connection that was open before, which may be silent, it
+// is repeated on a new one.
 func (c *confirmer) runRound() (confirmation, error) {
-	refused := errs.New(errs.NotRun, errs.ReasonNoPrimary, "the primary could not be confirmed")
+	reused := c.conn != nil
+	r, err := c.tryRound()
+	if err != nil && reused && c.db.srv.ctx.Err() == nil {
+		r, err = c.tryRound()
+	}
+	if e := errs.As(err); e != nil && e.Reason() == errs.ReasonUnknownDB {
+		return confirmation{}, e
+	}
+	if err != nil {
+		return confirmation{}, errs.New(errs.NotRun, errs.ReasonNoPrimary, "the primary could not be confirmed")
+	}
+	return r, nil
+}
+
+// tryRound reads the offset before the confirmation, which thereby proves that the member was the
+// primary when the offset was read. If that fails, the connection is closed.
+func (c *confirmer) tryRound() (confirmation, error) {
 	ctx, stop := context.WithTimeout(c.db.srv.ctx, watchTimeout)
 	defer stop()
 	g, err := c.db.group()
@@ -114,13 +130,13 @@
 	}
 	m, err := c.connect(ctx, g)
 	if err != nil {
-		return confirmation{}, refused
+		return confirmation{}, err
 	}
 	p, err := c.confirm(ctx, g)
 	if err != nil {
 		c.conn.Close()
 		c.conn = nil
-		return confirmation{}, refused
+		return confirmation{}, err
 	}
 	return confirmation{member: m, term: g.Term, position: p}, nil
 }
