entry: a position of a later term does not make discarded data durable

A read at a former primary was answered with discarded data if the entry learned of the next term while it relayed the answer; an acknowledgement of a lost commit was possible if the term changed between two lines of awaitMajority.

Change: one function tells whether a position is durable, discarded or neither. It reads the position of the majority before the history, and compares terms that the directory does not know only with themselves.

--- a/entry/confirm_test.go
+++ b/entry/confirm_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackc/pgx/v5"
 
+	"tamarackcross/emul"
 	"tamarackcross/entry"
 	"tamarackcross/group"
 )
@@ -179,3 +180,21 @@
 	value, outcome := d.runWith(t, c, f.promote)
 	expectEqual(t, "answer", "new ok", value+" "+outcome)
 }
+
+// TestReadOfDiscardedData guards against a read that is answered with data that a promotion discards
+// while the answer is sent, since a majority holds a position of the next term.
+func TestReadOfDiscardedData(t *testing.T) {
+	s := startSite(t, emul.WithApplyLag(time.Hour))
+	d := newAnswerDialer("SELECT repeat('x', 1024) FROM generate_series(1, 400)", 300<<10)
+	s.addEntry(t, entry.WithDial(d.dial))
+	c, other := s.connect(t, 2, ""), s.connect(t, 2, "")
+	mustRun(t, c, "INSERT INTO t (k, v) VALUES ('x', 'kept')")
+	f := startFailover(t, s)
+	mustRun(t, connectMember(t, s, 0), "INSERT INTO t (k, v) VALUES ('y', 'discarded')")
+	_, outcome := d.runWith(t, c, func() {
+		f.promote()
+		f.announce()
+		mustRun(t, other, "INSERT INTO t (k, v) VALUES ('z', 'kept')")
+	})
+	expectEqual(t, "answer", "40001 outcome=not_run reason=bound_discarded", outcome)
+}
--- a/entry/database.go
+++ b/entry/database.go
@@ -337,11 +337,36 @@
 	db.majorityChanged = make(chan struct{})
 }
 
-// majorityHolds reports whether a majority is known to hold p.
-func (db *database) majorityHolds(p group.Position) bool {
+// durability tells whether a position survives promotions.
+type durability int
+
+const (
+	notKnown  durability = iota // no majority is known to hold it
+	durable                     // a majority holds it
+	discarded                   // a later term discarded it
+)
+
+// durabilityOf returns what is known about p. The position of the majority is read before the
+// history: in the other order it may be one of a later term, which compares as newer than a position
+// that this term has discarded.
+func (db *database) durabilityOf(p group.Position) (durability, error) {
 	db.mu.Lock()
-	defer db.mu.Unlock()
-	return !db.majorityPosition.Less(p)
+	majority := db.majorityPosition
+	db.mu.Unlock()
+	g, err := db.group()
+	if err != nil {
+		return notKnown, err
+	}
+	state := g.History.StateOf(p)
+	switch {
+	case state == group.Discarded:
+		return discarded, nil
+	case majority.Less(p):
+		return notKnown, nil
+	case majority.Term == p.Term, majority.Term <= g.Term && state == group.Kept:
+		return durable, nil
+	}
+	return notKnown, nil
 }
 
 // Observation is what an entry found out about the primary of a database.
--- a/entry/durability.go
+++ b/entry/durability.go
@@ -35,15 +35,15 @@
 	for {
 		changed := db.srv.dir.Changed()
 		advanced := db.majorityAdvanced()
-		g, err := db.group()
+		state, err := db.durabilityOf(x.position)
 		if err != nil {
 			return err
 		}
-		if g.History.StateOf(x.position) == group.Discarded {
-			return errs.New(errs.NotRun, errs.ReasonBoundDiscarded, "commit was discarded by a change of primary")
-		}
-		if db.majorityHolds(x.position) {
+		switch state {
+		case durable:
 			return nil
+		case discarded:
+			return errs.New(errs.NotRun, errs.ReasonBoundDiscarded, "commit was discarded by a change of primary")
 		}
 		select {
 		case <-advanced:
@@ -117,12 +117,15 @@
 // are a majority.
 const pairMajorityGroupSize = 3
 
-// mayBeDiscarded reports whether the data of a snapshot at p may still be discarded
-// by a promotion, because no majority is known to hold p.
+// mayBeDiscarded reports whether the data of a snapshot at p has been discarded by a
+// promotion, or may still be, because no majority is known to hold p.
 func (c *session) mayBeDiscarded(m *member, p group.Position, hasPosition bool) bool {
-	if !hasPosition || m.db.majorityHolds(p) {
+	if !hasPosition {
 		return false
 	}
+	if state, err := m.db.durabilityOf(p); err == nil && state != notKnown {
+		return state == discarded
+	}
 	g, ok := m.db.srv.dir.Group(m.db.name)
 	return ok && (g.Primary == m.name || len(g.Members) > pairMajorityGroupSize)
 }
