entry: reads in a transaction cover the position of their session

The member of a transaction is chosen when it begins, as the primary, and its reads were checked against no position. At an entry that does not know of a new primary yet, and at a member that is chosen and not promoted yet, a session read older data than it had seen (P1).

Change: reads in a transaction must cover the position of the session, as others do; a session without one takes that of the primary first.

--- a/entry/confirm_test.go
+++ b/entry/confirm_test.go
@@ -13,6 +13,7 @@
 	"tamarackcross/emul"
 	"tamarackcross/entry"
 	"tamarackcross/group"
+	"tamarackcross/token"
 )
 
 // answerDialer stops the entry once, while it reads the answer to a statement that contains text,
@@ -198,3 +199,41 @@
 	})
 	expectEqual(t, "answer", "40001 outcome=not_run reason=bound_discarded", outcome)
 }
+
+// TestTransactionReadsOwnWrites guards against a transaction that reads older data than its session
+// has seen: at a primary that has been replaced, while the entry does not know of it, or at a member
+// that was chosen as the primary and is not promoted yet.
+func TestTransactionReadsOwnWrites(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		first, second func(*failover)
+	}{
+		{"at a former primary", (*failover).promote, (*failover).announce},
+		{"before a promotion", (*failover).announce, (*failover).promote},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startSite(t)
+			s.group.Member(1).SetApplyLag(time.Hour)
+			mustRun(t, s.connect(t, 0, ""), "INSERT INTO t (k, v) VALUES ('x', 'new')")
+			f := startFailover(t, s)
+			tt.first(f)
+			seen := s.group.Member(1).Status().Held
+			if s.group.Member(1).Status().Role == emul.Primary {
+				mustRun(t, connectMember(t, s, 1), "UPDATE t SET v = 'newer' WHERE k = 'x'")
+				seen = s.group.Member(1).Status().Held
+			}
+			text, err := token.New(tokenKey).Encode(token.Vector{}.With("app", seen))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := s.connect(t, 0, "&tamarackcross.token="+text)
+			mustRun(t, c, "BEGIN")
+			_, err = c.PgConn().Exec(testContext(t), valueRead).ReadAll()
+			expectEqual(t, "answer", "57P03 outcome=not_run reason=below_bound", describeError(err))
+			mustRun(t, c, "ROLLBACK")
+			tt.second(f)
+			want, _ := s.group.Member(1).Value("t", "x")
+			expectEqual(t, "value afterwards", want, mustRun(t, c, "BEGIN", valueRead))
+		})
+	}
+}
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -412,7 +412,7 @@
 		return nil
 	}
 	x.status = f.Body[0]
-	if !x.snapshotChecked && x.failure == nil && !x.req.noExecute && x.req.hasRead() && !x.req.needsPrimary() {
+	if !x.snapshotChecked && x.failure == nil && !x.req.noExecute && x.req.hasRead() && !x.req.needsPrimary() && x.session.tx == nil {
 		return errs.New(errs.NotRun, errs.ReasonProtocol, "backend server reported no position for the read")
 	}
 	return nil
--- a/entry/route.go
+++ b/entry/route.go
@@ -85,9 +85,21 @@
 	return q, err
 }
 
-// bound returns the read bound of a request. A session without a position first
-// takes the confirmed position of the primary, so that its reads see every write
-// acknowledged before.
+// readPosition returns the position that reads of the session must cover. A session without one first
+// takes the confirmed position of the primary, so that its reads see every write acknowledged before.
+func (c *session) readPosition(ctx context.Context, db *database) (group.Position, error) {
+	if p, ok := c.vector.At(c.database); ok {
+		return p, nil
+	}
+	p, err := db.confirmer.currentPosition(ctx)
+	if err != nil {
+		return group.Position{}, err
+	}
+	c.raisePosition(p)
+	return p, nil
+}
+
+// bound returns the read bound of a request.
 func (c *session) bound(ctx context.Context, db *database, req *request) (group.Bound, error) {
 	if req.primaryOnly {
 		return group.LatestBound{}, nil
@@ -95,16 +107,12 @@
 	if c.settings.bound == boundLatest && req.hasRead() {
 		return group.LatestBound{}, nil
 	}
-	p, ok := c.vector.At(c.database)
-	if !ok && !req.hasRead() {
+	if _, ok := c.vector.At(c.database); !ok && !req.hasRead() {
 		return group.SessionBound{}, nil // statements such as SHOW read no data
 	}
-	if !ok {
-		var err error
-		if p, err = db.confirmer.currentPosition(ctx); err != nil {
-			return nil, err
-		}
-		c.raisePosition(p)
+	p, err := c.readPosition(ctx, db)
+	if err != nil {
+		return nil, err
 	}
 	db.recordRead(time.Now())
 	if c.settings.bound == boundAge {
--- a/entry/tx.go
+++ b/entry/tx.go
@@ -21,13 +21,15 @@
 		return c.commitKeyed(ctx, req)
 	}
 	m := tx.conn.member
+	if err := c.requireSeen(ctx, req, m.db); err != nil {
+		return c.abortTx(req, nil, asError(err))
+	}
 	slotID, err := m.slots.acquire(ctx, c.admissionRequest(req))
 	if err != nil {
 		return c.abortTx(req, nil, asError(err))
 	}
 	start := time.Now()
 	x := c.newExecution(tx.conn, req)
-	x.snapshotChecked = true
 	x.slotID = slotID
 	x.holdTail = tx.implicit && req.commits
 	err = c.execute(ctx, x)
@@ -46,6 +48,17 @@
 	return c.completeRequest(ctx, req, x)
 }
 
+// requireSeen makes the reads of a request in a transaction cover the position of the session. The
+// member may have been replaced as the primary when the transaction began, or not be promoted yet.
+func (c *session) requireSeen(ctx context.Context, req *request, db *database) error {
+	if !req.hasRead() {
+		return nil
+	}
+	p, err := c.readPosition(ctx, db)
+	req.requiredPosition = p
+	return err
+}
+
 // endTx returns the connection of a transaction that has ended to the pool.
 func (c *session) endTx(x *execution) {
 	tx := c.tx
