entry: a failed round of confirmation is run again while the request has time

Callers saw: a read of the latest state (or of a bounded age without a sample) is refused with reason no_primary although the primary serves and most of its time is left.

Cause: such a read ran, and then one round, limited to 450 ms as the watch is, decided about it. A trace of 1,060 runs of TestReadBounds beside load shows rounds that fail after 450 to 3,661 ms while the watch of the primary stands still as long: the process gets no time. The read itself was retried within its budget, its confirmation never.

Change: a round that fails while the term is the same is run again within the retry budget and the deadline.

--- a/entry/confirm_test.go
+++ b/entry/confirm_test.go
@@ -237,3 +237,43 @@
 		})
 	}
 }
+
+// slowDialer delays the next writes that contain text, left of them.
+type slowDialer struct {
+	text  string
+	delay time.Duration
+	left  atomic.Int32
+}
+
+func (d *slowDialer) dial(ctx context.Context, addr string) (net.Conn, error) {
+	var nd net.Dialer
+	nc, err := nd.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{Conn: nc, dialer: d}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	dialer *slowDialer
+}
+
+func (c *slowConn) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte(c.dialer.text)) && c.dialer.left.Add(-1) >= 0 {
+		time.Sleep(c.dialer.delay)
+	}
+	return c.Conn.Write(b)
+}
+
+// TestSlowConfirmation guards against a read of the latest state that is refused with most of its
+// time left since the confirmation of the primary has been slow, as it is on a busy machine.
+func TestSlowConfirmation(t *testing.T) {
+	s := startSite(t)
+	d := &slowDialer{text: "group_confirm", delay: 600 * time.Millisecond}
+	s.addEntry(t, entry.WithDial(d.dial))
+	c := s.connect(t, 2, latestParams)
+	mustRun(t, c, "INSERT INTO t (k, v) VALUES ('x', 'new')", valueRead)
+	d.left.Store(2)
+	expectEqual(t, "value", "new", mustRun(t, c, valueRead))
+}
--- a/entry/durability.go
+++ b/entry/durability.go
@@ -5,6 +5,7 @@
 
 	"tamarackcross/errs"
 	"tamarackcross/group"
+	"tamarackcross/retry"
 )
 
 // rollbackTag is the command tag in the answer to COMMIT of a failed transaction.
@@ -17,7 +18,7 @@
 // caller has seen.
 func (c *session) awaitDurable(ctx context.Context, req *request, x *execution) error {
 	if req.latest {
-		return c.confirmLatest(ctx, x)
+		return c.confirmLatest(ctx, req, x)
 	}
 	if !x.hasPosition {
 		if !req.acknowledgesCommit(nil) || !req.txWrites || x.commandTag == rollbackTag {
@@ -65,8 +66,12 @@
 // confirmLatest confirms by a majority round that the member was still the primary
 // when it served the read. A confirmation of its successor, or of the member itself in
 // a later term, proves nothing.
-func (c *session) confirmLatest(ctx context.Context, x *execution) error {
+func (c *session) confirmLatest(ctx context.Context, req *request, x *execution) error {
 	r, err := x.conn.member.db.confirmer.confirmPrimary(ctx)
+	for err != nil && c.mayConfirmAgain(ctx, req, x, asError(err)) {
+		c.srv.stats.Retried(asError(err).Reason())
+		r, err = x.conn.member.db.confirmer.confirmPrimary(ctx)
+	}
 	if err != nil {
 		return asError(err)
 	}
@@ -76,6 +81,21 @@
 	return nil
 }
 
+// mayConfirmAgain decides whether to run another round after one has failed, and waits for its backoff.
+// The member has just served the read, so it may only be slow. A later round proves as much, as long
+// as the term is the same.
+func (c *session) mayConfirmAgain(ctx context.Context, req *request, x *execution, e *errs.Error) bool {
+	if term, _ := x.conn.member.role(); term != x.term || e.Reason() != errs.ReasonNoPrimary {
+		return false
+	}
+	again, ok := c.decideRetry(req, e.Reason()).(retry.Again)
+	if !ok {
+		return false
+	}
+	req.attempts++
+	return c.awaitDirectoryChange(ctx, again.After)
+}
+
 // isPrimarySnapshot reports whether the snapshot of the execution is one of the
 // primary. A member that was chosen for a term serves reads as a replica until it is
 // promoted, and may not have applied yet what it holds. A snapshot from before the
