ctrl: a new leader counts a voter as silent that it found silent before

While leaders change often, the successor is not promoted in that time, and the old one, by then one of four voters, not removed. If a disk is lost then, two of four voters, or one of three, are left.

TestSilentVoterAtNewLeader proposed no change in both cases before.

Change: a voter that this member found silent within the last 10 s, for a second by now, counts as silent until it answers.

--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -144,6 +144,14 @@
 	}
 }
 
+// remembered reports whether a voter has not answered for silentVoterTimeout, as far as this member
+// knows from when it led last, not long ago. A new leader counts all others as active at first, but one
+// that it found silent only once it answers again.
+func (r silenceRecord) remembered(id raft.ID, now time.Time) bool {
+	s, ok := r[id]
+	return ok && now.Sub(s.since) >= silentVoterTimeout && now.Sub(s.seen) < silenceMemory
+}
+
 // of returns how long a voter has been silent.
 func (r silenceRecord) of(id raft.ID, now time.Time) time.Duration {
 	if s, ok := r[id]; ok {
@@ -159,8 +167,9 @@
 		out = append(out, memberState{Member: self, active: true, leaving: n.isLeaving(self.ID, now)})
 	}
 	for _, p := range st.Progress {
+		active := p.RecentlyActive && (p.Answered || !n.silence.remembered(p.Member.ID, now))
 		out = append(out, memberState{
-			Member: p.Member, active: p.RecentlyActive, caughtUp: p.CaughtUp, silent: n.silence.of(p.Member.ID, now),
+			Member: p.Member, active: active, caughtUp: p.CaughtUp, silent: n.silence.of(p.Member.ID, now),
 			leaving: n.isLeaving(p.Member.ID, now),
 		})
 	}
--- a/ctrl/membership_test.go
+++ b/ctrl/membership_test.go
@@ -167,3 +167,46 @@
 		t.Errorf("silent for %s by what was seen %s ago, want 0", got, silenceMemory)
 	}
 }
+
+// TestSilentVoterAtNewLeader guards against leaders that change so often that none counts a voter as
+// silent, which each found silent before: it is neither replaced nor, after that, removed.
+func TestSilentVoterAtNewLeader(t *testing.T) {
+	const self, other, gone, successor raft.ID = 1, 2, 3, 4
+	start := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name     string
+		learner  bool          // whether the successor does not vote yet
+		answered bool          // whether the voter that was gone has answered
+		since    time.Duration // since this member led last
+		want     string
+	}{
+		{"replaced", true, false, 2 * time.Second, "promote 4"},
+		{"removed", false, false, 2 * time.Second, "remove 3"},
+		{"returned", true, true, 2 * time.Second, "none"},
+		{"long ago", true, false, silenceMemory, "none"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			members := raft.Members{{ID: self, Address: "a"}, {ID: other, Address: "b"}, {ID: gone, Address: "c"}, {ID: successor, Address: "d", Learner: tt.learner}}
+			status := func(active, answered bool) raft.Status {
+				return raft.Status{ID: self, Role: raft.Leader, Members: members, Progress: []raft.Progress{
+					{Member: members[1], RecentlyActive: true, Answered: true},
+					{Member: members[2], RecentlyActive: active, Answered: answered},
+					{Member: members[3], RecentlyActive: true, Answered: true, CaughtUp: true},
+				}}
+			}
+			n := &Node{silence: make(silenceRecord)}
+			n.silence.update(status(false, true), start)
+			n.silence.update(status(false, true), start.Add(silentVoterTimeout))
+			now := start.Add(silentVoterTimeout + tt.since)
+			st := status(true, tt.answered) // at a new leader
+			n.silence.update(st, now)
+			got := "none"
+			if change, _ := nextChange(n.memberStates(st, now), true); change != nil {
+				got = describeChange(change)
+			}
+			if got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
