entry: reads cover the position of their session also behind BEGIN or a write in one request

A request that begins a transaction and reads in it, or that writes and then reads in one, was checked against no position: the answer of the first statement counted as proof for all.

Change: such a request must cover the position too. Outside a transaction it is tried again at the primary within its budget (stale_primary). The error says "not run" only where nothing of it can commit.

--- a/entry/confirm_test.go
+++ b/entry/confirm_test.go
@@ -226,8 +226,15 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			c := s.connect(t, 0, "&tamarackcross.token="+text)
+			c := s.connect(t, 0, "&tamarackcross.deadline=500ms&tamarackcross.token="+text)
+			_, err = c.PgConn().Exec(testContext(t), "BEGIN; "+valueRead).ReadAll()
+			expectEqual(t, "answer to one query", "57P03 outcome=not_run reason=stale_primary", describeError(err))
 			mustRun(t, c, "BEGIN")
+			_, err = c.PgConn().Exec(testContext(t), "INSERT INTO t (k) VALUES ('y'); "+valueRead).ReadAll()
+			if err == nil {
+				t.Error("a read behind a write was answered with old data")
+			}
+			mustRun(t, c, "ROLLBACK", "BEGIN")
 			_, err = c.PgConn().Exec(testContext(t), valueRead).ReadAll()
 			expectEqual(t, "answer", "57P03 outcome=not_run reason=below_bound", describeError(err))
 			mustRun(t, c, "ROLLBACK")
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -76,13 +76,6 @@
 	forceSync      bool // end with Sync even if the caller sent Flush
 }
 
-// errBelowBound is the error of a read whose snapshot is older than its read bound.
-var errBelowBound = errs.New(errs.NotRun, errs.ReasonBelowBound, "snapshot is older than the bound")
-
-// errNotPrimarySnapshot is the error of a read of the latest state that no primary of the current
-// term served.
-var errNotPrimarySnapshot = errs.New(errs.NotRun, errs.ReasonStalePrimary, "the member was not the primary")
-
 // run sends the request and relays its answer. The error is nil when a complete
 // answer was received, even if that is an error response.
 func (x *execution) run(ctx context.Context) error {
@@ -323,11 +316,12 @@
 	if x.snapshotChecked || x.req.noExecute {
 		return nil
 	}
-	if x.req.latest && !x.isPrimarySnapshot() {
-		return errNotPrimarySnapshot
-	}
-	if !x.session.snapshotCovers(x.position, x.req.requiredPosition) {
-		return errBelowBound
+	covers := x.session.snapshotCovers(x.position, x.req.requiredPosition)
+	switch {
+	case x.req.latest && !x.isPrimarySnapshot(), !covers && x.req.needsPrimary():
+		return errs.New(x.outcomeIfLost(), errs.ReasonStalePrimary, "the member was not the primary")
+	case !covers:
+		return errs.New(x.outcomeIfLost(), errs.ReasonBelowBound, "snapshot is older than the bound")
 	}
 	x.snapshotChecked = true
 	return x.writePrefix()
@@ -420,7 +414,7 @@
 
 // emit sends a frame to the caller or holds it back.
 func (x *execution) emit(f wire.Frame) error {
-	if !x.snapshotChecked && x.req.needsPrimary() && provesExecution(f.Type) {
+	if !x.snapshotChecked && x.req.needsPrimary() && x.req.requiredPosition.IsZero() && provesExecution(f.Type) {
 		x.snapshotChecked = true
 		if err := x.writePrefix(); err != nil {
 			return err
--- a/entry/route.go
+++ b/entry/route.go
@@ -39,6 +39,11 @@
 				continue
 			}
 			req.requiredPosition, req.latest = choice.Required, choice.Confirm
+			if q.Write && !req.write {
+				if err := c.requireSeen(ctx, req, db); err != nil {
+					return nil, err
+				}
+			}
 			return db.memberByName(choice.Name)
 		case route.Wait:
 			if err := db.awaitApplied(ctx, advanced, choice, now); err != nil {
