--- a/place/place.go
+++ b/place/place.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// maxHolders is the maximum number of holders of a service in a zone. With three, one
+	// MaxHolders is the maximum number of holders of a service in a zone. With three, one
 	// may have failed while another one restarts.
-	maxHolders = 3
+	MaxHolders = 3
 	// minConnsPerHolder is the minimum number of connections of a holder to a backend
 	// server: one for health probes and a few for concurrent statements.
 	minConnsPerHolder = 5
@@ -27,7 +27,7 @@
 // HoldersPerZone returns the number of holders in each zone of a service whose backend
 // servers accept conns connections each.
 func HoldersPerZone(conns, zones int) int {
-	return min(maxHolders, max(1, conns/(max(1, zones)*minConnsPerHolder)))
+	return min(MaxHolders, max(1, conns/(max(1, zones)*minConnsPerHolder)))
 }
 
 // HolderCount is a service and the number of holders that it is to have in the zone.
