--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -137,7 +137,7 @@
 func (w *operation) forward(ctx context.Context) (Answer, bool) {
 	var tried []string
 	for {
-		h := w.svc.borrowHolderLink(ctx, tried)
+		h := w.svc.borrowHolderLink(ctx, w.session.customer, tried)
 		if h == nil {
 			return Answer{}, false
 		}
@@ -198,6 +198,9 @@
 	if err == nil && a.Proof != nil {
 		w.svc.recordHolderProof(*a.Proof, sent)
 	}
+	if err == nil && d.Customer != "" {
+		w.svc.recordHolderHint(h.peer.Name, d.Customer, a.Hint)
+	}
 	return a, err
 }
 
@@ -233,7 +236,7 @@
 	}
 	var tried []string
 	for {
-		h := w.svc.borrowHolderLink(ctx, tried)
+		h := w.svc.borrowHolderLink(ctx, w.session.customer, tried)
 		if h == nil {
 			return Answer{}, false
 		}
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -35,6 +35,7 @@
 // maintain closes expired connections and logs changes of the status of members.
 func (v *service) maintain(now time.Time) {
 	v.forgetEndedProbers()
+	v.use.forget(now)
 	for _, m := range v.allMembers() {
 		m.closeExpired(now)
 		v.logStatusChange(m, now)
@@ -94,6 +95,7 @@
 	set("log_lines_dropped", nil, float64(s.log.Dropped()))
 	now := s.now()
 	for _, v := range s.allServices() {
+		v.use.setGauges(v.name, set)
 		for _, m := range v.allMembers() {
 			v.setGauges(m, set, now)
 		}
--- /dev/null
+++ b/proxy/idle.go
@@ -0,0 +1,143 @@
+package proxy
+
+import (
+	"slices"
+	"time"
+
+	"tamarackcross/keep"
+)
+
+const (
+	// connIdleTimeout is how long a connection may stay unused: half of the 60 s after
+	// which the backend servers of the users close it.
+	connIdleTimeout = 30 * time.Second
+	// excessConnIdleTimeout replaces it while there are more idle connections than half
+	// of the equal share. It is short so that other instances can open connections.
+	excessConnIdleTimeout = time.Second
+	// scarceConnIdleTimeout replaces it where there are too few connections for all
+	// instances.
+	scarceConnIdleTimeout = 300 * time.Millisecond
+)
+
+// takeIdle returns the idle connection of the customer that was used last, so that the others
+// reach their idle timeout. It returns nil if there is none.
+func (m *member) takeIdle(customer string) *backendConn {
+	for {
+		m.mu.Lock()
+		n := len(m.idle) - 1
+		for n >= 0 && m.idle[n].customer != customer {
+			n--
+		}
+		if n < 0 {
+			m.mu.Unlock()
+			return nil
+		}
+		c := m.idle[n]
+		m.idle = slices.Delete(m.idle, n, n+1)
+		m.mu.Unlock()
+		if c.Alive() {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+// makeRoom closes idle connections so that together with those in use there are no more than the
+// quota allows: those whose customers are expected to need them last, or without customers the
+// longest unused ones.
+func (m *member) makeRoom() {
+	inUse, _ := m.connQueue.usage()
+	now := m.now()
+	m.mu.Lock()
+	var closing []*backendConn
+	for len(m.idle) > 0 && len(m.idle)+inUse > m.quota.limit {
+		n := 0
+		if m.demand != nil {
+			n = m.demand.Victim(m.idleConns(), now)
+		}
+		closing = append(closing, m.idle[n])
+		m.idle = slices.Delete(m.idle, n, n+1)
+	}
+	m.mu.Unlock()
+	for _, c := range closing {
+		_ = c.Close()
+	}
+}
+
+// closeExpired closes connections that have reached their idle timeout.
+func (m *member) closeExpired(now time.Time) {
+	inUse, _ := m.connQueue.usage()
+	m.mu.Lock()
+	var expired []*backendConn
+	if m.demand != nil && m.keepIdle {
+		m.demand.Forget(now)
+		for _, n := range slices.Backward(m.demand.Expired(m.idleConns(), inUse, m.quota.share, now)) {
+			expired = append(expired, m.idle[n])
+			m.idle = slices.Delete(m.idle, n, n+1)
+		}
+	} else {
+		expired = m.takeUnused(now)
+	}
+	m.mu.Unlock()
+	for _, c := range expired {
+		_ = c.Close()
+	}
+}
+
+// takeUnused removes the connections that were unused for too long, whoever needs them next. The
+// caller holds m.mu.
+func (m *member) takeUnused(now time.Time) (expired []*backendConn) {
+	limit := connIdleTimeout
+	if len(m.idle) > (m.quota.share+1)/2 {
+		limit = excessConnIdleTimeout
+	}
+	if !m.keepIdle {
+		limit = scarceConnIdleTimeout
+	}
+	m.idle = slices.DeleteFunc(m.idle, func(c *backendConn) bool {
+		if now.Sub(c.lastUsed) < limit {
+			return false
+		}
+		expired = append(expired, c)
+		return true
+	})
+	return expired
+}
+
+// idleConns describes the idle connections. The caller holds m.mu.
+func (m *member) idleConns() []keep.Idle {
+	out := make([]keep.Idle, len(m.idle))
+	for i, c := range m.idle {
+		out[i] = keep.Idle{Customer: c.customer, LastUsed: c.lastUsed}
+	}
+	return out
+}
+
+// recordBorrowed records that a request takes an idle connection, or opens one.
+func (m *member) recordBorrowed(customer string, reused bool) {
+	if customer == "" {
+		return
+	}
+	now := m.now()
+	m.mu.Lock()
+	if m.demand == nil {
+		m.demand = keep.New(keep.WithIdleLimit(connIdleTimeout))
+	}
+	rate := m.demand.Rate(customer, now)
+	m.demand.Borrowed(customer, now)
+	m.mu.Unlock()
+	m.use.began(customer, sizeOf(rate), reused, now)
+}
+
+// recordReturned records that it gives the connection back, or could not open it.
+func (m *member) recordReturned(customer string) {
+	if customer == "" {
+		return
+	}
+	now := m.now()
+	m.mu.Lock()
+	m.demand.Returned(customer, now)
+	m.mu.Unlock()
+	m.use.ended(customer, now)
+	m.makeRoom() // the quota may have shrunk
+}
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
 	"tamarackcross/errs"
 	"tamarackcross/group"
+	"tamarackcross/keep"
 	"tamarackcross/roster"
 )
 
@@ -16,15 +16,6 @@
 	// dialTimeout bounds the opening of a connection, which takes 12 ms at the backend
 	// servers of the users and more under load.
 	dialTimeout = 400 * time.Millisecond
-	// connIdleTimeout is how long a connection may stay unused: half of the 60 s after
-	// which the backend servers of the users close it.
-	connIdleTimeout = 30 * time.Second
-	// excessConnIdleTimeout replaces it while there are more idle connections than half
-	// of the equal share. It is short so that other instances can open connections.
-	excessConnIdleTimeout = time.Second
-	// scarceConnIdleTimeout replaces it where there are too few connections for all
-	// instances.
-	scarceConnIdleTimeout = 300 * time.Millisecond
 	// initialLag is the lag assumed of a replica before anything is known.
 	initialLag = 200 * time.Millisecond
 	// lagMargin is added to an observed lag, which is only a lower bound.
@@ -59,12 +50,14 @@
 	statementQueue *admissionQueue // admits statements to slots of the server
 	prober         *prober
 	updateLag      func(*member, group.Position)
+	use            *customerUse // of the service
 	cancel         context.CancelFunc
 	ctx            context.Context
 
 	mu            sync.Mutex
 	entry         roster.Entry
 	idle          []*backendConn
+	demand        *keep.Table // of customers; nil if there are none
 	quota         quota
 	concurrency   concurrencyLimit
 	noDialBefore  time.Time     // backoff after the server refused a connection
@@ -81,7 +74,7 @@
 	m := &member{
 		dialer: d, target: Target{Addr: e.Addr, Service: e.Service, ID: e.ID}, incarnation: e.Incarnation(),
 		now: now, connQueue: newAdmissionQueue(conns, now), statementQueue: newAdmissionQueue(max(minConcurrency, e.Slots), now),
-		concurrency: newConcurrencyLimit(e.Slots), ctx: ctx, cancel: cancel, lag: initialLag, lagUpdated: now(),
+		use: newCustomerUse(nil), concurrency: newConcurrencyLimit(e.Slots), ctx: ctx, cancel: cancel, lag: initialLag, lagUpdated: now(),
 	}
 	m.update(e, now())
 	return m
@@ -90,7 +83,7 @@
 // newProbedMember returns a member that is probed until it is closed.
 func (v *service) newProbedMember(e roster.Entry, conns int) *member {
 	m := newMember(v.ctx, v.srv.dialer, e, conns, v.srv.now)
-	m.updateLag = v.updateLag
+	m.updateLag, m.use = v.updateLag, v.use
 	m.prober = newProber(v, m)
 	return m
 }
@@ -126,12 +119,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if c := m.takeIdle(a.customer); c != nil {
+	c := m.takeIdle(a.customer)
+	m.recordBorrowed(a.customer, c != nil)
+	if c != nil {
 		return &borrowedConn{c, permit}, nil
 	}
 	m.makeRoom()
-	c, err := m.dial(ctx, a.customer)
-	if err != nil {
+	if c, err = m.dial(ctx, a.customer); err != nil {
+		m.recordReturned(a.customer)
 		permit.release()
 		return nil, err
 	}
@@ -191,44 +186,6 @@
 	m.connQueue.resize(limit)
 }
 
-// takeIdle returns the idle connection of the customer that was used last, so that the others
-// reach their idle timeout. It returns nil if there is none.
-func (m *member) takeIdle(customer string) *backendConn {
-	for {
-		m.mu.Lock()
-		n := len(m.idle) - 1
-		for n >= 0 && m.idle[n].customer != customer {
-			n--
-		}
-		if n < 0 {
-			m.mu.Unlock()
-			return nil
-		}
-		c := m.idle[n]
-		m.idle = slices.Delete(m.idle, n, n+1)
-		m.mu.Unlock()
-		if c.Alive() {
-			return c
-		}
-		_ = c.Close()
-	}
-}
-
-// makeRoom closes idle connections of other customers, the longest unused one first, so that
-// together with the connections in use, of which one is about to be opened, there are no more than
-// the quota allows.
-func (m *member) makeRoom() {
-	inUse, _ := m.connQueue.usage()
-	m.mu.Lock()
-	n := min(max(0, len(m.idle)+inUse-m.quota.limit), len(m.idle))
-	closing := slices.Clone(m.idle[:n])
-	m.idle = slices.Delete(m.idle, 0, n)
-	m.mu.Unlock()
-	for _, c := range closing {
-		_ = c.Close()
-	}
-}
-
 func (m *member) dial(ctx context.Context, customer string) (*backendConn, error) {
 	if !m.canDial() {
 		return nil, errs.New(errs.NotRun, errs.ReasonQueueFull, "the backend server accepts no more connections")
@@ -237,6 +194,7 @@
 	defer stop()
 	target := m.target
 	target.Customer = customer
+	began := m.now()
 	conn, err := m.dialer.Dial(ctx, target)
 	if err != nil {
 		var f *Fault
@@ -248,6 +206,7 @@
 		}
 		return nil, errs.New(errs.NotRun, errs.ReasonConnect, err.Error())
 	}
+	m.use.recordDial(m.now().Sub(began))
 	m.updateLag(m, conn.Position())
 	return &backendConn{Conn: conn, member: m, customer: customer, values: map[string]string{}, prepared: map[string]PreparedStatement{}}, nil
 }
@@ -258,39 +217,16 @@
 	now := m.now()
 	c.lastUsed = now
 	m.mu.Lock()
-	keep := clean && m.ctx.Err() == nil
-	if keep {
+	reusable := clean && m.ctx.Err() == nil
+	if reusable {
 		m.idle = append(m.idle, c.backendConn)
 	}
 	m.mu.Unlock()
-	if !keep {
+	if !reusable {
 		_ = c.Close()
 	}
 	c.permit.release()
-}
-
-// closeExpired closes connections that have reached their idle timeout.
-func (m *member) closeExpired(now time.Time) {
-	m.mu.Lock()
-	var expired []*backendConn
-	limit := connIdleTimeout
-	if len(m.idle) > (m.quota.share+1)/2 {
-		limit = excessConnIdleTimeout
-	}
-	if !m.keepIdle {
-		limit = scarceConnIdleTimeout
-	}
-	m.idle = slices.DeleteFunc(m.idle, func(c *backendConn) bool {
-		if now.Sub(c.lastUsed) < limit {
-			return false
-		}
-		expired = append(expired, c)
-		return true
-	})
-	m.mu.Unlock()
-	for _, c := range expired {
-		_ = c.Close()
-	}
+	m.recordReturned(c.customer)
 }
 
 // close ends the use of the server. Borrowed connections are closed when they are put
@@ -340,6 +276,7 @@
 		return out, err
 	}
 	now := m.now()
+	m.use.recordStatement(now.Sub(sent))
 	m.adjustConcurrency(w.svc.queueDelay(w.session.database, m, now.Sub(sent)), now)
 	return out, err
 }
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -77,9 +77,10 @@
 	idle      []idleLink
 	borrowed  map[*borrowedLink]struct{}
 	lastHeard time.Time
-	failing   bool // the last ping was not answered
-	checking  bool // pingUntilAnswered is running
-	retired   bool // the peer has left the list
+	failing   bool      // the last ping was not answered
+	answered  time.Time // when it answered a ping again, after it had failed one
+	checking  bool      // pingUntilAnswered is running
+	retired   bool      // the peer has left the list
 }
 
 type idleLink struct {
@@ -178,11 +179,11 @@
 
 // borrowHolderLink borrows a link to a holder of the service for one unit of work. It
 // returns nil if this instance is a holder itself, or if no holder can be reached.
-func (v *service) borrowHolderLink(ctx context.Context, tried []string) *borrowedLink {
+func (v *service) borrowHolderLink(ctx context.Context, customer string, tried []string) *borrowedLink {
 	p := v.srv.peers
 	tried = slices.Clone(tried)
 	for {
-		e := v.chooseHolder(tried)
+		e := v.chooseHolder(customer, tried)
 		if e == nil {
 			return nil
 		}
@@ -198,12 +199,15 @@
 
 // chooseHolder returns the holder to which a request is forwarded, leaving out those in
 // tried. It returns nil if this instance is a holder itself, or if no holder answers.
-func (v *service) chooseHolder(tried []string) *peer {
+func (v *service) chooseHolder(customer string, tried []string) *peer {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	p := v.srv.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if customer != "" {
+		return v.chooseHome(customer, tried)
+	}
 	if slices.Contains(v.holders, v.srv.name) {
 		return nil
 	}
@@ -369,7 +373,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e.failing != (err != nil) {
-		e.failing = err != nil
+		e.failing, e.answered = err != nil, p.srv.now()
 		p.srv.log.Info().Str(event.Holder, e.Name).Bool("failing", e.failing).Err(err).Msg("state of a peer changed")
 	}
 	if err == nil || e.retired || p.srv.ctx.Err() != nil {
@@ -401,16 +405,20 @@
 func (v *service) setHolders(names []string, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !slices.Equal(names, v.holders) {
+		v.moveCustomers(names)
+	}
 	v.holders = names
 	v.isHolder = slices.Contains(names, v.srv.name) || !v.lastForwardReceived.IsZero() && now.Sub(v.lastForwardReceived) <= temporaryHolderPeriod
 	return v.isHolder
 }
 
-// forwards reports whether requests for the service are forwarded to holders.
-func (v *service) forwards() bool {
+// forwards reports whether requests for the service are forwarded to holders. Those of a customer
+// are, unless chooseHolder finds that this instance is its holder.
+func (v *service) forwards(customer string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return len(v.holders) > 0 && !slices.Contains(v.holders, v.srv.name)
+	return len(v.holders) > 0 && (customer != "" || !slices.Contains(v.holders, v.srv.name))
 }
 
 // holderShare returns how many connections to a backend server a holder may use for
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -184,6 +184,10 @@
 		connsAreScarce, shares := connsScarce(cfg, n), connShares{base: equalShare(cfg, n), keepIdle: !connsScarce(cfg, n)}
 		holds := v.setHolders(holders[name], now)
 		switch peers := s.peers.count(); {
+		case connsAreScarce && len(doc.Customers) > 0:
+			if holds {
+				shares = customerShares(cfg, s.zones)
+			}
 		case connsAreScarce && holds:
 			shares = connShares{base: holderShare(cfg, s.zones, n), keepIdle: true}
 		case connsAreScarce && peers > 0:
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -70,6 +70,8 @@
 	lastHolderProof     time.Time     // newest proof of primary known to a holder
 	lastForwardSent     time.Time     // last request forwarded to a holder
 	lastDirectUse       time.Time     // last request that needed the primary and was not forwarded
+	homes               homeTable     // which holder keeps the connections of a customer
+	use                 *customerUse  // of connections, by customers
 	fetcher             *proofFetcher
 	baselines           map[string]*durationBaseline // by database
 	breakers            *retry.Group
@@ -98,6 +100,7 @@
 		breakers:     retry.NewGroup(s.seed),
 		rnd:          rand.New(rand.NewPCG(s.seed, uint64(len(name)))),
 	}
+	v.use = newCustomerUse(s.stats)
 	v.extendHistory(1)
 	v.fetcher = newProofFetcher(v)
 	go func() { v.fetcher.done <- v.fetcher.run(v.ctx) }()
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -83,7 +83,8 @@
 		}
 		answer := s.handle(ctx, req)
 		if req.Forwarded != nil {
-			answer.Proof = s.srv.service(req.Forwarded.Route.Service).newestProof(s.srv.now())
+			v := s.srv.service(req.Forwarded.Route.Service)
+			answer.Proof, answer.Hint = v.newestProof(s.srv.now()), v.holderHint(req.Forwarded.Customer)
 		}
 		if err := s.caller.Reply(answer); err != nil {
 			return
@@ -317,7 +318,7 @@
 	}
 	w.route, w.svc = r, s.srv.service(r.Service)
 	if s.forwards(w.svc) {
-		if !writes {
+		if !writes && s.customer == "" {
 			if a, ok := w.readLocally(ctx); ok {
 				return a
 			}
@@ -404,4 +405,4 @@
 
 // forwards reports whether requests for the service are forwarded. A forwarded
 // request is not forwarded again.
-func (s *session) forwards(v *service) bool { return s.forwardedRoute == nil && v.forwards() }
+func (s *session) forwards(v *service) bool { return s.forwardedRoute == nil && v.forwards(s.customer) }
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -79,6 +79,14 @@
 	// Proof is set by a holder in its answer to another instance: its newest proof of
 	// primary, or nil if it has none.
 	Proof *Proof
+	// Hint is set by a holder too.
+	Hint HolderHint
+}
+
+// HolderHint is what a holder tells of itself and of the customer with its answer.
+type HolderHint struct {
+	Load  int // requests under way at the holder for the service
+	Width int // number of holders over which the requests of the customer are to be spread
 }
 
 // Code says why a request failed.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -106,6 +106,8 @@
 	Term      uint64
 	Offset    uint64
 	Proof     proof
+	Load      int
+	Width     int
 }
 
 // ping is both the request and the reply of a health probe.
@@ -210,7 +212,10 @@
 }
 
 func encodeAnswer(a proxy.Answer) *reply {
-	r := &reply{Rows: a.Rows, Signature: a.Signature, Status: a.Status, Term: a.Position.Term, Offset: a.Position.Offset}
+	r := &reply{
+		Rows: a.Rows, Signature: a.Signature, Status: a.Status, Term: a.Position.Term, Offset: a.Position.Offset,
+		Load: a.Hint.Load, Width: a.Hint.Width,
+	}
 	if p := a.Proof; p != nil {
 		r.Proof = proof{Member: p.Member, Term: p.Position.Term, Offset: p.Position.Offset, Age: p.Age, Lags: p.Lags}
 	}
@@ -223,6 +228,7 @@
 func (r *reply) answer() proxy.Answer {
 	a := proxy.Answer{
 		Rows: r.Rows, Signature: r.Signature, Status: r.Status, Position: group.Position{Term: r.Term, Offset: r.Offset},
+		Hint: proxy.HolderHint{Load: r.Load, Width: r.Width},
 	}
 	if p := r.Proof; p.Member != "" {
 		a.Proof = &proxy.Proof{Member: p.Member, Position: group.Position{Term: p.Term, Offset: p.Offset}, Age: p.Age, Lags: p.Lags}
