--- a/host/control.go
+++ b/host/control.go
@@ -121,10 +121,12 @@
 // syncRequest returns the state that this instance sends to the other control instances.
 func (c *Controller) syncRequest() mesh.SyncRequest {
 	_, probed := c.probeResults()
+	known := c.reports.summarize(c.deps.Now()).known
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return mesh.SyncRequest{
 		Name: c.settings.Name, Zone: c.settings.Zone, ProbedServices: probed, Gathered: c.gathered,
+		KnownPeers: known.list, KnownPeersDigest: known.digest,
 		ConfigVersion: ^uint64(0), // requests no announcement: the configuration arrives with the log
 	}
 }
@@ -266,8 +268,9 @@
 			ConfigVersion: stored.Version, Incarnation: c.incarnation, RosterRevision: revision, RosterEntries: entries,
 			Controls: c.controlAddrs(), EntryCount: reports.entries, Zone: c.settings.Zone, Led: leader != "", Leader: leader,
 		}
+		reply.KnownPeersDigest = c.reports.knownDigest(in.Name)
 		if in.Serves {
-			peers := reports.peers[in.Zone]
+			peers := reports.peersFor(in)
 			if reply.PeersDigest = peers.digest; reply.PeersDigest != in.PeersDigest {
 				reply.Peers = peers.list
 			}
@@ -299,7 +302,8 @@
 func (c *Controller) recordReport(in *mesh.SyncRequest) {
 	c.reports.put(in.Name, instanceReport{
 		zone: in.Zone, serves: in.Serves, home: in.Home, homeSince: in.HomeSince, gathered: in.Gathered, wait: in.Wait, addr: in.Addr, leaving: in.Leaving,
-		probed: in.ProbedServices, at: c.deps.Now(), unresponsive: in.UnresponsiveMembers,
+		probed: in.ProbedServices, at: c.deps.Now(), unresponsive: in.UnresponsiveMembers, allZones: in.AllZones,
+		known: c.reports.knownPeers(in),
 	})
 }
 
--- a/host/control_client.go
+++ b/host/control_client.go
@@ -82,7 +82,8 @@
 	led            bool          // it knows a leader of control
 	configVersion  uint64        // newest version of the configuration that it announced
 	peersDigest    uint64
-	peers          []mesh.Peer // entries of the own zone, as the control instance lists them
+	peers          []mesh.Peer // entries, as the control instance lists them
+	knownDigest    uint64      // of the KnownPeers of this instance that it has
 }
 
 func newControlClients(selfAddr, zone string, dial mesh.DialFunc, now func() time.Time, log *event.Log, st *stats.Registry) *controlClients {
@@ -292,6 +293,9 @@
 	if c.selfAddr == "" && c.home == cc.addr {
 		in.Home, in.HomeSince = true, c.homeSince.UnixMilli()
 	}
+	if in.KnownPeersDigest == cc.knownDigest {
+		in.KnownPeers = nil
+	}
 	c.addLeaseRequest(&in, cc)
 	c.mu.Unlock()
 	reply, err := client.Sync(ctx, &in)
@@ -328,6 +332,7 @@
 	if reply.PeersDigest != cc.peersDigest {
 		cc.peersDigest, cc.peers = reply.PeersDigest, reply.Peers
 	}
+	cc.knownDigest = reply.KnownPeersDigest
 	if reply.Led && (cc.addr == c.home || c.leader == "") {
 		c.leader = reply.Leader
 	}
@@ -427,7 +432,7 @@
 	return now.Sub(cc.lastAnswer) <= cc.wait+answerMargin
 }
 
-// peers returns the entries of the own zone that the home listed in its last answer. If that is
+// peers returns the entries that the home listed in its last answer. If that is
 // too old, it returns those that any other control instance listed.
 func (c *controlClients) peers() []mesh.Peer {
 	c.mu.Lock()
--- a/host/entry.go
+++ b/host/entry.go
@@ -185,7 +185,7 @@
 	in := mesh.SyncRequest{
 		Name: e.settings.Name, Zone: e.settings.Zone, Serves: true,
 		ProbedServices: e.server.ProbedServices(), Addr: e.settings.PeerAddr, Leaving: e.leaving.Load(),
-		ConfigHeld: e.config.base.Load(),
+		ConfigHeld: e.config.base.Load(), AllZones: e.server.ForwardsToAllZones(),
 	}
 	for _, t := range e.server.UnresponsiveMembers() {
 		in.UnresponsiveMembers = append(in.UnresponsiveMembers, mesh.UnresponsiveMember(t))
--- a/host/reports.go
+++ b/host/reports.go
@@ -26,6 +26,8 @@
 	home         bool           // this instance counts it
 	homeSince    int64          // when it chose this instance as its home, in ms of its clock
 	gathered     *mesh.Gathered // of a control instance
+	known        *zonePeers     // of a control instance: entries that report to it
+	allZones     bool           // it asks for the peers of all zones
 	wait         time.Duration  // how long its call may be held
 	addr         string         // where it serves forwarded requests
 	leaving      bool
@@ -36,7 +38,8 @@
 
 // sameInstance reports whether two reports of an instance mean the same to the others.
 func (r instanceReport) sameInstance(o instanceReport) bool {
-	return r.zone == o.zone && r.serves == o.serves && r.home == o.home && r.addr == o.addr && r.leaving == o.leaving
+	return r.zone == o.zone && r.serves == o.serves && r.home == o.home && r.addr == o.addr && r.leaving == o.leaving &&
+		r.allZones == o.allZones && r.known.sameList(o.known)
 }
 
 // reportTable holds the newest report of each instance.
@@ -51,12 +54,8 @@
 type reportSummary struct {
 	entries int                  // number of all live entries
 	peers   map[string]zonePeers // by zone
-}
-
-// zonePeers lists the entries of a zone to which other entries may forward requests.
-type zonePeers struct {
-	list   []mesh.Peer
-	digest uint64
+	all     map[string]zonePeers // those of all zones, by the zone that asks; nil if no entry asks for them
+	known   zonePeers            // those that report here, with their zones, if an entry asks for all
 }
 
 // summaryInterval is the longest time between two summaries of the reports. Every Sync call needs
@@ -99,6 +98,7 @@
 	}
 	t.expire(now)
 	s := reportSummary{peers: make(map[string]zonePeers)}
+	asked := false
 	all := make(map[uint32]struct{}) // hashes of the names of all live entries
 	for name, r := range t.reports {
 		if r.gathered != nil {
@@ -106,6 +106,7 @@
 				all[hash] = struct{}{}
 			}
 		}
+		asked = asked || r.allZones
 		if !r.serves {
 			continue
 		}
@@ -119,9 +120,11 @@
 		}
 	}
 	for zone, p := range s.peers {
-		slices.SortFunc(p.list, func(a, b mesh.Peer) int { return strings.Compare(a.Name, b.Name) })
-		p.digest = mesh.Digest(p.list)
-		s.peers[zone] = p
+		s.peers[zone] = newZonePeers(p.list)
+	}
+	if asked {
+		s.known = knownPeers(s.peers)
+		s.all = allPeers(s.peers, s.known, t.reports)
 	}
 	s.entries = len(all)
 	t.summary, t.summaryAt = s, now
--- a/host/urgent.go
+++ b/host/urgent.go
@@ -73,6 +73,7 @@
 	ctx, stop := context.WithTimeout(parent, urgentReportTimeout)
 	defer stop()
 	in := c.newRequest()
+	in.KnownPeers = nil
 	in.ReportOnly, in.Home, in.HomeSince = true, c.selfAddr == "", homeSince
 	if _, err := client.Sync(ctx, &in); err != nil && parent.Err() == nil {
 		c.log.Debug().Err(err).Str("control", client.Addr()).Msg("report of an unresponsive backend server failed; the next Sync call carries it")
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -49,7 +49,8 @@
 	ProbedServices      []string             `json:"Probed,omitempty"` // services whose members it probes; UnresponsiveMembers covers only these
 	Addr                string               `json:",omitempty"`       // where it serves requests that other entries forward
 	Leaving             bool                 `json:",omitempty"`       // it accepts no new callers
-	PeersDigest         uint64               `json:"Peers,omitempty"`  // digest of the peers of its zone that it has, or 0
+	PeersDigest         uint64               `json:"Peers,omitempty"`  // digest of the peers that it has, or 0
+	AllZones            bool                 `json:",omitempty"`       // it asks for the peers of all zones, not only of its own
 	ConfigVersion       uint64               `json:"Config"`           // newest version of the configuration that the receiver announced
 	ConfigHeld          uint64               `json:"Held,omitempty"`   // version of the configuration that the sender has, or 0
 	Incarnation         uint64               `json:"Boot"`             // incarnation of the receiver that RosterRevision refers to, or 0
@@ -61,6 +62,8 @@
 	Home                bool                 `json:",omitempty"` // the receiver counts the sender; an entry has one home
 	HomeSince           int64                `json:",omitempty"` // when the sender chose it, in ms of its clock
 	Gathered            *Gathered            `json:",omitempty"` // set by control instances
+	KnownPeers          []Peer               `json:",omitempty"` // entries that report to the sender, a control instance, unless the receiver has this list
+	KnownPeersDigest    uint64               `json:",omitempty"` // of that list; 0 if there is none
 }
 
 // Gathered is what a control instance has gathered from the entries whose home it is, and from its
@@ -115,29 +118,34 @@
 
 // SyncReply carries what the sender of the request lacks.
 type SyncReply struct {
-	Incarnation    uint64         `json:"Boot"`       // random ID of this run of the control role
-	RosterRevision uint64         `json:"Revision"`   // revision of the roster up to RosterEntries
-	ConfigVersion  uint64         `json:"Version"`    // newest version of the configuration that the sender has; Fetch returns it
-	Config         *FetchReply    `json:",omitempty"` // that version relative to ConfigHeld, if it is small and new to the requester
-	RosterEntries  []roster.Entry `json:"Entries"`    // entries that changed after the revision of the request
-	Controls       []ControlAddr  `json:"Control"`    // the control members
-	Led            bool           `json:",omitempty"` // the sender knows a leader of control that is in office
-	Leader         string         `json:",omitempty"` // address of that leader
-	EntryCount     int            `json:"Instances"`  // number of live entries
-	Zone           string         // zone of the control instance
-	PeersDigest    uint64         `json:"Digest"`     // digest of the peers in the zone of the requester
-	Peers          []Peer         `json:",omitempty"` // these peers, if the digest of the request differs
-	Lease          *LeaseReply    `json:",omitempty"` // nil unless the sender leads and was asked for leases
-}
-
-// Peer is an entry that serves requests which other entries of its zone forward.
-type Peer struct{ Name, Addr string }
+	Incarnation      uint64         `json:"Boot"`       // random ID of this run of the control role
+	RosterRevision   uint64         `json:"Revision"`   // revision of the roster up to RosterEntries
+	ConfigVersion    uint64         `json:"Version"`    // newest version of the configuration that the sender has; Fetch returns it
+	Config           *FetchReply    `json:",omitempty"` // that version relative to ConfigHeld, if it is small and new to the requester
+	RosterEntries    []roster.Entry `json:"Entries"`    // entries that changed after the revision of the request
+	Controls         []ControlAddr  `json:"Control"`    // the control members
+	Led              bool           `json:",omitempty"` // the sender knows a leader of control that is in office
+	Leader           string         `json:",omitempty"` // address of that leader
+	EntryCount       int            `json:"Instances"`  // number of live entries
+	Zone             string         // zone of the control instance
+	PeersDigest      uint64         `json:"Digest"`     // digest of the peers in the zone of the requester, or in all zones
+	Peers            []Peer         `json:",omitempty"` // these peers, if the digest of the request differs
+	KnownPeersDigest uint64         `json:",omitempty"` // digest of the KnownPeers of the requester that the sender has
+	Lease            *LeaseReply    `json:",omitempty"` // nil unless the sender leads and was asked for leases
+}
+
+// Peer is an entry that serves requests which other entries forward. Zone is empty for one of the
+// zone of the receiver.
+type Peer struct {
+	Name, Addr string
+	Zone       string `json:",omitempty"`
+}
 
 // Digest returns a hash of a list of peers. It is used to detect that two lists differ.
 func Digest(peers []Peer) uint64 {
 	h := murmur3.New64()
 	for _, p := range peers {
-		_, _ = io.WriteString(h, p.Name+"\x00"+p.Addr+"\x00") // writing to a hash cannot fail
+		_, _ = io.WriteString(h, p.Name+"\x00"+p.Addr+"\x00"+p.Zone+"\x00") // writing to a hash cannot fail
 	}
 	return h.Sum64()
 }
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -136,8 +136,9 @@
 // holder could be reached: then the instance has to run the statement itself.
 func (w *operation) forward(ctx context.Context) (Answer, bool) {
 	var tried []string
+	to := w.destination()
 	for {
-		h := w.svc.borrowHolderLink(ctx, w.session.customer, tried)
+		h := w.svc.borrowHolderLink(ctx, to, tried)
 		if h == nil {
 			return Answer{}, false
 		}
@@ -199,7 +200,7 @@
 		w.svc.recordHolderProof(*a.Proof, sent)
 	}
 	if err == nil && d.Customer != "" {
-		w.svc.recordHolderHint(h.peer.Name, d.Customer, a.Hint)
+		w.svc.recordHolderHint(h.peer, d.Customer, a.Hint)
 	}
 	return a, err
 }
@@ -235,8 +236,9 @@
 		return w.forwardedTxAnswer(a, err, commit), true
 	}
 	var tried []string
+	to := w.destination()
 	for {
-		h := w.svc.borrowHolderLink(ctx, w.session.customer, tried)
+		h := w.svc.borrowHolderLink(ctx, to, tried)
 		if h == nil {
 			return Answer{}, false
 		}
--- a/proxy/homes.go
+++ b/proxy/homes.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -8,37 +9,63 @@
 
 	"tamarackcross/config"
 	"tamarackcross/place"
+	"tamarackcross/route"
 	"tamarackcross/stats"
 )
 
 // Where callers identify themselves as customers and some instances hold the connections, the
-// requests of a customer go to the same holders, since a connection serves only one customer.
+// requests of a customer go to the same holders, since a connection serves only one customer: to
+// holders in the zone of the member that is to serve them.
 
-const (
-	// hintLifetime is how long the load that a holder told counts.
-	hintLifetime = time.Second
-	// nearFactor is how many connections to a backend server a holder in its zone has for each one
-	// of a holder in another zone, which needs them only for the primary and in place of a lost
-	// replica.
-	nearFactor = 3
-)
+// ForwardsToAllZones reports whether requests go to holders in other zones.
+func (s *Server) ForwardsToAllZones() bool {
+	doc := s.doc.Load()
+	return doc != nil && len(doc.Customers) > 0
+}
+
+// hintLifetime is how long the load that a holder told counts.
+const hintLifetime = time.Second
 
 // customerShares returns the shares of a holder where connections serve only one customer each. The
-// holders have all of them.
+// holders have all of them. Those in the zone of a member take the requests for it, so that the
+// others have few: for the time until they learn of another primary, or while that zone is cut off.
 func customerShares(cfg config.Service, zones int) connShares {
 	conns := cfg.MaxConns - reservedControlConns
 	holders := place.HoldersPerZone(conns, zones)
-	conns -= holders * zones * probeConns
-	far := max(minConnShare, conns/(holders*(zones-1+nearFactor)))
-	return connShares{base: far, sameZone: max(far, conns/holders-far*(zones-1)), keepIdle: true}
+	near := conns/holders - zones*probeConns - (zones-1)*minConnShare
+	return connShares{base: minConnShare, sameZone: max(minConnShare, near), keepIdle: true, fixed: true}
 }
 
+// customerShares returns the shares of this instance. One that only acts as a holder for a while has
+// those of a distant one.
+func (v *service) customerShares(cfg config.Service, zones int, actsAsHolder bool) connShares {
+	if !actsAsHolder {
+		return connShares{base: scarceConnShare}
+	}
+	shares := customerShares(cfg, zones)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !slices.Contains(v.holders, v.srv.name) {
+		shares.sameZone = shares.base
+	}
+	return shares
+}
+
+// ownZone is the key of the own zone in lists by zone.
+const ownZone = ""
+
 // homeTable is what an instance knows of the holders of customers. It is guarded by mu of the
 // service.
 type homeTable struct {
-	ranker *place.Ranker
-	loads  map[string]toldLoad // by holder
-	widths map[string]int      // by customer, if more than one holder has it
+	zones map[string]*zoneHomes
+	loads map[string]toldLoad // by holder
+}
+
+// zoneHomes are the holders of one zone.
+type zoneHomes struct {
+	holders []string
+	ranker  *place.Ranker
+	widths  map[string]int // by customer, if more than one holder has it
 }
 
 type toldLoad struct {
@@ -46,52 +73,121 @@
 	at       time.Time
 }
 
-// moveCustomers makes the named instances the holders. The caller holds v.mu.
-func (v *service) moveCustomers(names []string) {
-	old := v.homes.ranker
-	v.homes = homeTable{ranker: place.NewRanker(v.name, names), loads: make(map[string]toldLoad), widths: make(map[string]int)}
+// moveCustomers sets the holders of all zones. The caller holds v.mu.
+func (v *service) moveCustomers(byZone map[string][]string) {
+	old := v.homes.zones
+	v.homes.zones = make(map[string]*zoneHomes, len(byZone))
+	for zone, names := range byZone {
+		h := old[zone]
+		if h == nil || !slices.Equal(h.holders, names) {
+			h = &zoneHomes{holders: names, ranker: place.NewRanker(v.name, names), widths: make(map[string]int)}
+			if was := old[zone]; was != nil && zone == ownZone {
+				v.logMoves(was, h)
+			}
+		}
+		v.homes.zones[zone] = h
+	}
+	if v.homes.loads == nil {
+		v.homes.loads = make(map[string]toldLoad)
+	}
+	maps.DeleteFunc(v.homes.loads, func(_ string, told toldLoad) bool { return v.srv.now().Sub(told.at) > hintLifetime })
+}
+
+// logMoves logs how many customers get another holder.
+func (v *service) logMoves(was, is *zoneHomes) {
 	doc := v.srv.doc.Load()
-	if old == nil || doc == nil || len(doc.Customers) == 0 {
+	if doc == nil || len(doc.Customers) == 0 {
 		return
 	}
 	moved := 0
 	for name := range doc.Customers {
-		if !slices.Equal(old.Rank(name, 1, nil), v.homes.ranker.Rank(name, 1, nil)) {
+		if !slices.Equal(was.ranker.Rank(name, 1, nil), is.ranker.Rank(name, 1, nil)) {
 			moved++
 		}
 	}
-	v.log.Info().Strs("was", v.holders).Strs("holders", names).Int("moved", moved).Int("customers", len(doc.Customers)).Msg("holders changed; connections of moved customers are kept elsewhere")
+	v.log.Info().Strs("was", was.holders).Strs("holders", is.holders).Int("moved", moved).Int("customers", len(doc.Customers)).
+		Msg("holders of the zone changed; moved customers have their connections elsewhere")
+}
+
+// destination says where a request is forwarded.
+type destination struct {
+	customer string
+	zone     string // of the holders; those of the own zone stand in for them
+}
+
+// destination returns where the request is forwarded: to holders in the zone of the member that is to
+// serve it, since they have most of its connections. The way is not longer, as the request has to
+// reach that zone in any case.
+func (w *operation) destination() destination {
+	to := destination{customer: w.session.customer}
+	if to.customer == "" {
+		return to
+	}
+	if m := w.likelyMember(); m != nil {
+		if zone := m.snapshot().Zone; zone != w.session.srv.zone {
+			to.zone = zone
+		}
+	}
+	return to
+}
+
+// likelyMember returns the member that is expected to serve the request, or nil. The holder chooses
+// it.
+func (w *operation) likelyMember() *member {
+	tx, bound := w.session.tx, w.readBound()
+	if w.writes || tx != nil && !tx.readOnly || !bound.known {
+		return w.svc.primaryMember()
+	}
+	now := w.now()
+	switch choice := w.svc.pickMember(w.routeQuery(now, nil), bound, now).(type) {
+	case route.Use:
+		return w.svc.member(choice.Name)
+	case route.Wait:
+		return w.svc.member(choice.Name)
+	default:
+		return nil
+	}
 }
 
 // chooseHome returns the holder to which a request of the customer is forwarded, or nil if this
 // instance is to run it or no holder answers. The caller holds v.mu and the mutex of the peers.
-func (v *service) chooseHome(customer string, tried []string) *peer {
-	if v.homes.ranker == nil {
-		return nil
+func (v *service) chooseHome(to destination, tried []string) *peer {
+	zones := []string{to.zone, ownZone}
+	if to.zone == ownZone {
+		zones = zones[:1]
 	}
-	now, p := v.srv.now(), v.srv.peers
-	var homes []place.Home
-	for _, name := range v.homes.ranker.Rank(customer, place.MaxHolders, nil) {
-		h := place.Home{Holder: place.Holder{Name: name}}
-		e := p.byName[name]
+	for _, zone := range zones {
+		h := v.homes.zones[zone]
+		if h == nil {
+			continue
+		}
+		if name, ok := place.ChooseHome(v.rankedHomes(h, to.customer, tried), h.widths[to.customer], v.srv.now(), v.rnd); ok {
+			return v.srv.peers.byName[name] // nil for this instance
+		}
+	}
+	return nil
+}
+
+// rankedHomes returns the holders for the customer, the highest ranked first, without those in tried.
+func (v *service) rankedHomes(h *zoneHomes, customer string, tried []string) []place.Home {
+	var out []place.Home
+	for _, name := range h.ranker.Rank(customer, place.MaxHolders, nil) {
+		home := place.Home{Holder: place.Holder{Name: name}}
+		e := v.srv.peers.byName[name]
 		switch {
 		case name == v.srv.name:
-			h.Load = v.loadLocked()
+			home.Load = v.loadLocked()
 		case e == nil || slices.Contains(tried, name):
 			continue
 		default:
-			h.InFlight, h.Failing, h.AnsweredSince = len(e.borrowed), e.failing, e.answered
-			if told := v.homes.loads[name]; now.Sub(told.at) <= hintLifetime {
-				h.Load = told.requests
+			home.InFlight, home.Failing, home.AnsweredSince = len(e.borrowed), e.failing, e.answered
+			if told := v.homes.loads[name]; v.srv.now().Sub(told.at) <= hintLifetime {
+				home.Load = told.requests
 			}
 		}
-		homes = append(homes, h)
-	}
-	name, ok := place.ChooseHome(homes, v.homes.widths[customer], now, v.rnd)
-	if !ok || name == v.srv.name {
-		return nil
+		out = append(out, home)
 	}
-	return p.byName[name]
+	return out
 }
 
 // loadLocked returns the number of requests that have a connection or wait for one here. The caller
@@ -117,23 +213,24 @@
 
 // recordHolderHint records what a holder told with its answer. The first holder of a customer that
 // answers decides over how many its requests are spread.
-func (v *service) recordHolderHint(holder, customer string, h HolderHint) {
+func (v *service) recordHolderHint(holder *peer, customer string, hint HolderHint) {
 	now, p := v.srv.now(), v.srv.peers
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.homes.ranker == nil {
+	h := v.homes.zones[holder.Zone]
+	if h == nil {
 		return
 	}
-	v.homes.loads[holder] = toldLoad{requests: h.Load, at: now}
+	v.homes.loads[holder.Name] = toldLoad{requests: hint.Load, at: now}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, name := range v.homes.ranker.Rank(customer, place.MaxHolders, nil) {
+	for _, name := range h.ranker.Rank(customer, place.MaxHolders, nil) {
 		switch e := p.byName[name]; {
-		case name == holder && h.Width > 1:
-			v.homes.widths[customer] = h.Width
+		case name == holder.Name && hint.Width > 1:
+			h.widths[customer] = hint.Width
 			return
-		case name == holder:
-			delete(v.homes.widths, customer)
+		case name == holder.Name:
+			delete(h.widths, customer)
 			return
 		case e != nil && !e.failing:
 			return
--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -23,7 +23,7 @@
 	for _, tc := range []struct {
 		share, idle, want int
 	}{{1, 1, 1}, {1, 2, 0}, {3, 2, 2}, {3, 3, 0}, {4, 2, 2}, {4, 3, 0}} {
-		m.setShare(tc.share, true)
+		m.setShare(tc.share, true, false)
 		m.idle = nil
 		for range tc.idle {
 			m.idle = append(m.idle, &backendConn{Conn: stubConn{}, lastUsed: now.Add(-2 * excessConnIdleTimeout)})
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -137,11 +137,15 @@
 // its equal share.
 const maxShareFactor = 3
 
-// setShare sets the equal share of the instance, and whether it keeps idle
-// connections.
-func (m *member) setShare(share int, keepIdle bool) {
+// setShare sets the equal share of the instance, whether it keeps idle connections, and
+// whether the share is fixed.
+func (m *member) setShare(share int, keepIdle, fixed bool) {
+	ceiling := maxShareFactor * share
+	if fixed {
+		ceiling = share
+	}
 	m.mu.Lock()
-	m.quota.resize(share, maxShareFactor*share)
+	m.quota.resize(share, ceiling)
 	m.keepIdle = keepIdle
 	limit := m.quota.limit
 	m.mu.Unlock()
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -14,8 +14,8 @@
 	"tamarackcross/place"
 )
 
-// Peer is an instance of the own zone that serves callers.
-type Peer struct{ Name, Addr string }
+// Peer is an instance that serves callers. Zone is empty for one of the own zone.
+type Peer struct{ Name, Addr, Zone string }
 
 // PeerClient connects to other instances of the zone.
 type PeerClient interface {
@@ -34,7 +34,8 @@
 // WithPeerClient lets the instance forward requests to its peers.
 func WithPeerClient(l PeerClient) Option { return func(s *Server) { s.peerClient = l } }
 
-// SetPeers sets the instances of the own zone that serve callers, this one among them.
+// SetPeers sets the instances that serve callers: those of the own zone, this one among them, and of
+// the other zones if ForwardsToAllZones.
 func (s *Server) SetPeers(list []Peer) {
 	if s.peerClient != nil && s.peers.update(list) {
 		s.updateServices()
@@ -109,7 +110,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.Name] = true
-		if old := p.byName[e.Name]; old == nil || old.Addr != e.Addr {
+		if old := p.byName[e.Name]; old == nil || old.Peer != e {
 			if old != nil {
 				old.retire()
 			}
@@ -139,13 +140,13 @@
 	e.idle = nil
 }
 
-// assignHolders returns the holders in the own zone, by service, of those services that
-// have too few connections for all instances.
-func (p *peerSet) assignHolders(doc *config.Document, instances, zones int) map[string][]string {
+// assignHolders returns the holders of those services that have too few connections for all
+// instances, by zone and service. The own zone is "".
+func (p *peerSet) assignHolders(doc *config.Document, instances, zones int) map[string]map[string][]string {
 	p.mu.Lock()
-	names := make([]string, 0, len(p.list))
+	names := make(map[string][]string)
 	for _, e := range p.list {
-		names = append(names, e.Name)
+		names[e.Zone] = append(names[e.Zone], e.Name)
 	}
 	p.mu.Unlock()
 	var counts []place.HolderCount
@@ -154,7 +155,11 @@
 			counts = append(counts, place.HolderCount{Service: name, Holders: place.HoldersPerZone(cfg.MaxConns-reservedControlConns, zones)})
 		}
 	}
-	return place.Assign(counts, names)
+	out := make(map[string]map[string][]string, len(names))
+	for zone, list := range names {
+		out[zone] = place.Assign(counts, list)
+	}
+	return out
 }
 
 // closeExpiredLinks closes links that have reached their idle timeout.
@@ -179,11 +184,11 @@
 
 // borrowHolderLink borrows a link to a holder of the service for one unit of work. It
 // returns nil if this instance is a holder itself, or if no holder can be reached.
-func (v *service) borrowHolderLink(ctx context.Context, customer string, tried []string) *borrowedLink {
+func (v *service) borrowHolderLink(ctx context.Context, to destination, tried []string) *borrowedLink {
 	p := v.srv.peers
 	tried = slices.Clone(tried)
 	for {
-		e := v.chooseHolder(customer, tried)
+		e := v.chooseHolder(to, tried)
 		if e == nil {
 			return nil
 		}
@@ -199,14 +204,14 @@
 
 // chooseHolder returns the holder to which a request is forwarded, leaving out those in
 // tried. It returns nil if this instance is a holder itself, or if no holder answers.
-func (v *service) chooseHolder(customer string, tried []string) *peer {
+func (v *service) chooseHolder(to destination, tried []string) *peer {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	p := v.srv.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if customer != "" {
-		return v.chooseHome(customer, tried)
+	if to.customer != "" {
+		return v.chooseHome(to, tried)
 	}
 	if slices.Contains(v.holders, v.srv.name) {
 		return nil
@@ -400,14 +405,13 @@
 	}
 }
 
-// setHolders sets the holders of the service in the zone, and reports whether this
-// instance acts as one.
-func (v *service) setHolders(names []string, now time.Time) bool {
+// setHolders sets the holders of the service by zone, and reports whether this instance acts as
+// one.
+func (v *service) setHolders(byZone map[string][]string, now time.Time) bool {
+	names := byZone[ownZone]
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !slices.Equal(names, v.holders) {
-		v.moveCustomers(names)
-	}
+	v.moveCustomers(byZone)
 	v.holders = names
 	v.isHolder = slices.Contains(names, v.srv.name) || !v.lastForwardReceived.IsZero() && now.Sub(v.lastForwardReceived) <= temporaryHolderPeriod
 	return v.isHolder
@@ -455,5 +459,11 @@
 func (p *peerSet) count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.list)
+	n := 0
+	for _, e := range p.list {
+		if e.Zone == "" {
+			n++
+		}
+	}
+	return n
 }
--- a/proxy/permit_test.go
+++ b/proxy/permit_test.go
@@ -33,7 +33,7 @@
 			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(threads))
 			m := newMember(t.Context(), aliveDialer{}, roster.Entry{ID: "m1", Slots: 5}, 4, time.Now)
 			m.updateLag = func(*member, group.Position) {}
-			m.setShare(4, true)
+			m.setShare(4, true, false)
 			const (
 				sessions = 16
 				uses     = 10_000
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -173,7 +173,7 @@
 		return
 	}
 	now, n := s.now(), int(s.instances.Load())
-	var holders map[string][]string // by service
+	var holders map[string]map[string][]string // by zone and service
 	if s.peerClient != nil {
 		holders = s.peers.assignHolders(doc, n, s.zones)
 	}
@@ -182,12 +182,14 @@
 		v := s.service(name)
 		v.setTightestMaxAge(tightest[name])
 		connsAreScarce, shares := connsScarce(cfg, n), connShares{base: equalShare(cfg, n), keepIdle: !connsScarce(cfg, n)}
-		holds := v.setHolders(holders[name], now)
+		byZone := make(map[string][]string, len(holders))
+		for zone, byService := range holders {
+			byZone[zone] = byService[name]
+		}
+		holds := v.setHolders(byZone, now)
 		switch peers := s.peers.count(); {
 		case connsAreScarce && len(doc.Customers) > 0:
-			if holds {
-				shares = customerShares(cfg, s.zones)
-			}
+			shares = v.customerShares(cfg, s.zones, holds)
 		case connsAreScarce && holds:
 			shares = connShares{base: holderShare(cfg, s.zones, n), keepIdle: true}
 		case connsAreScarce && peers > 0:
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -120,6 +120,7 @@
 type connShares struct {
 	base, sameZone int  // sameZone replaces base for members in the own zone, unless it is 0
 	keepIdle       bool // keep idle connections for the next request
+	fixed          bool // the quota does not grow with demand
 }
 
 // updateMembers sets the members to those that the roster lists, and closes the
@@ -192,9 +193,9 @@
 			m.prober.start()
 		}
 		if e.Zone == v.srv.zone && shares.sameZone > 0 {
-			m.setShare(shares.sameZone, true)
+			m.setShare(shares.sameZone, true, shares.fixed)
 		} else {
-			m.setShare(shares.base, shares.keepIdle)
+			m.setShare(shares.base, shares.keepIdle, shares.fixed)
 		}
 	}
 	for id, m := range v.members {
