--- a/host/control.go
+++ b/host/control.go
@@ -303,8 +303,8 @@
 	c.reports.put(in.Name, instanceReport{
 		zone: in.Zone, serves: in.Serves, home: in.Home, homeSince: in.HomeSince, gathered: in.Gathered, wait: in.Wait, addr: in.Addr, leaving: in.Leaving,
 		probed: in.ProbedServices, at: c.deps.Now(), unresponsive: in.UnresponsiveMembers, allZones: in.AllZones,
-		known: c.reports.knownPeers(in),
 	})
+	c.reports.putKnown(in, c.deps.Now())
 }
 
 // entryCount returns the number of live entries.
--- a/host/entry.go
+++ b/host/entry.go
@@ -44,6 +44,7 @@
 	leases         *leaseHolder // nil if a promotion stops the former primary
 	config         *configFetcher
 	instanceCount  instanceCount
+	peers          peerMemory
 	proofs         *proofClient
 	peerClient     *relay.Links
 	callerListener net.Listener
@@ -200,6 +201,9 @@
 	putChecked(e.roster, r.RosterEntries, now, e.deps.Log)
 	e.server.SetInstanceCount(e.instanceCount.update(r.EntryCount, now))
 	if peers := e.control.peers(); len(peers) > 0 {
+		if e.server.ForwardsToAllZones() {
+			peers = e.peers.retain(peers, now)
+		}
 		list := make([]proxy.Peer, len(peers))
 		for i, p := range peers {
 			list[i] = proxy.Peer(p)
--- a/host/peers.go
+++ b/host/peers.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
+	"time"
 
 	"tamarackcross/mesh"
 )
@@ -32,16 +34,18 @@
 	return zonePeers{list: list, digest: mesh.Digest(list)}
 }
 
-// sameList reports whether both are missing or have the same list.
-func (p *zonePeers) sameList(o *zonePeers) bool {
-	if p == nil || o == nil {
-		return p == o
-	}
-	return p.digest == o.digest
+// knownPeers are the entries that another control instance listed.
+type knownPeers struct {
+	zonePeers
+	at time.Time // of its last report
 }
 
-// knownPeers returns the entries of all zones that report here, each with its zone.
-func knownPeers(byZone map[string]zonePeers) zonePeers {
+// knownRetention is how long the list of a control instance that sends no reports any more is kept.
+// The instances go on to serve while those of control are cut off from each other.
+const knownRetention = 30 * time.Second
+
+// reportingPeers returns the entries of all zones that report here, each with its zone.
+func reportingPeers(byZone map[string]zonePeers) zonePeers {
 	var list []mesh.Peer
 	for zone, p := range byZone {
 		for _, e := range p.list {
@@ -53,21 +57,19 @@
 }
 
 // allPeers returns the entries of all zones, by the zone that asks: those that report here, and those
-// that the reports of other control instances list. An entry that reports here as leaving is left
-// out.
-func allPeers(byZone map[string]zonePeers, known zonePeers, reports map[string]instanceReport) map[string]zonePeers {
+// that other control instances list. An entry that reports here as leaving is left out. The caller
+// holds t.mu.
+func (t *reportTable) allPeers(byZone map[string]zonePeers, reporting zonePeers, now time.Time) map[string]zonePeers {
+	maps.DeleteFunc(t.known, func(_ string, k knownPeers) bool { return now.Sub(k.at) > knownRetention })
 	byName := make(map[string]mesh.Peer)
-	for _, r := range reports {
-		if r.known == nil {
-			continue
-		}
-		for _, e := range r.known.list {
-			if own, reported := reports[e.Name]; !reported || !own.leaving {
+	for _, k := range t.known {
+		for _, e := range k.list {
+			if own, reports := t.reports[e.Name]; !reports || !own.leaving {
 				byName[e.Name] = e
 			}
 		}
 	}
-	for _, e := range known.list {
+	for _, e := range reporting.list {
 		byName[e.Name] = e
 	}
 	out := make(map[string]zonePeers, len(byZone))
@@ -83,26 +85,59 @@
 	return out
 }
 
-// knownPeers returns the entries that a request of a control instance lists, or those of its
-// earlier request if it does not repeat them.
-func (t *reportTable) knownPeers(in *mesh.SyncRequest) *zonePeers {
-	if in.KnownPeers != nil {
-		return &zonePeers{list: in.KnownPeers, digest: in.KnownPeersDigest}
-	}
+// putKnown stores the entries that a request of a control instance lists. It leaves the list out if
+// it was stored before.
+func (t *reportTable) putKnown(in *mesh.SyncRequest, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old := t.reports[in.Name].known; old != nil && (in.ReportOnly || old.digest == in.KnownPeersDigest) {
-		return old
+	old, stored := t.known[in.Name]
+	switch {
+	case in.KnownPeers != nil:
+		t.known[in.Name] = knownPeers{zonePeers{in.KnownPeers, in.KnownPeersDigest}, now}
+		t.summaryAt = time.Time{}
+	case stored:
+		old.at = now
+		t.known[in.Name] = old
 	}
-	return nil
 }
 
 // knownDigest returns the digest of the entries that the instance listed last, or 0.
 func (t *reportTable) knownDigest(name string) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known := t.reports[name].known; known != nil {
-		return known.digest
+	return t.known[name].digest
+}
+
+// peerRetention is how long an entry keeps a peer that control does not list any more. Entries that
+// change their control instance, since it knows no leader, are missing in its list while the others
+// still use it, and for a moment in that of the next one.
+const peerRetention = 2500 * time.Millisecond
+
+// peerMemory holds the peers that control listed lately.
+type peerMemory struct {
+	mu     sync.Mutex
+	listed map[string]listedPeer // by name
+}
+
+type listedPeer struct {
+	mesh.Peer
+	at time.Time
+}
+
+// retain adds to a list the peers that were listed within peerRetention.
+func (m *peerMemory) retain(list []mesh.Peer, now time.Time) []mesh.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.listed == nil {
+		m.listed = make(map[string]listedPeer)
+	}
+	for _, p := range list {
+		m.listed[p.Name] = listedPeer{p, now}
+	}
+	maps.DeleteFunc(m.listed, func(_ string, p listedPeer) bool { return now.Sub(p.at) > peerRetention })
+	out := make([]mesh.Peer, 0, len(m.listed))
+	for _, p := range m.listed {
+		out = append(out, p.Peer)
 	}
-	return 0
+	return newZonePeers(out).list
 }
--- a/host/reports.go
+++ b/host/reports.go
@@ -26,7 +26,6 @@
 	home         bool           // this instance counts it
 	homeSince    int64          // when it chose this instance as its home, in ms of its clock
 	gathered     *mesh.Gathered // of a control instance
-	known        *zonePeers     // of a control instance: entries that report to it
 	allZones     bool           // it asks for the peers of all zones
 	wait         time.Duration  // how long its call may be held
 	addr         string         // where it serves forwarded requests
@@ -39,13 +38,14 @@
 // sameInstance reports whether two reports of an instance mean the same to the others.
 func (r instanceReport) sameInstance(o instanceReport) bool {
 	return r.zone == o.zone && r.serves == o.serves && r.home == o.home && r.addr == o.addr && r.leaving == o.leaving &&
-		r.allZones == o.allZones && r.known.sameList(o.known)
+		r.allZones == o.allZones
 }
 
 // reportTable holds the newest report of each instance.
 type reportTable struct {
 	mu        sync.Mutex
 	reports   map[string]instanceReport // by name
+	known     map[string]knownPeers     // entries that report to the other control instances, by their names
 	summary   reportSummary
 	summaryAt time.Time // zero if the summary has to be made anew
 }
@@ -62,7 +62,9 @@
 // one, and making it takes time in proportion to the number of instances.
 const summaryInterval = 100 * time.Millisecond
 
-func newReportTable() *reportTable { return &reportTable{reports: make(map[string]instanceReport)} }
+func newReportTable() *reportTable {
+	return &reportTable{reports: make(map[string]instanceReport), known: make(map[string]knownPeers)}
+}
 
 // put stores the report of an instance.
 func (t *reportTable) put(name string, r instanceReport) {
@@ -123,8 +125,8 @@
 		s.peers[zone] = newZonePeers(p.list)
 	}
 	if asked {
-		s.known = knownPeers(s.peers)
-		s.all = allPeers(s.peers, s.known, t.reports)
+		s.known = reportingPeers(s.peers)
+		s.all = t.allPeers(s.peers, s.known, now)
 	}
 	s.entries = len(all)
 	t.summary, t.summaryAt = s, now
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -297,6 +297,9 @@
 // recordHolderRetry records that a request is tried again because a holder was lost.
 func (w *operation) recordHolderRetry(h *borrowedLink, err error) {
 	w.session.srv.stats.Retried(errs.ReasonInstanceLost)
+	if errors.Is(err, ErrNotProcessed) {
+		h.recordRefusal()
+	}
 	w.logEvent(zerolog.InfoLevel).Str(event.Holder, h.peer.Name).Err(err).
 		Str(event.Reason, string(errs.ReasonInstanceLost)).Msg("retried")
 	w.attempts++
--- a/proxy/homes.go
+++ b/proxy/homes.go
@@ -23,8 +23,13 @@
 	return doc != nil && len(doc.Customers) > 0
 }
 
-// hintLifetime is how long the load that a holder told counts.
-const hintLifetime = time.Second
+const (
+	// hintLifetime is how long the load that a holder told counts.
+	hintLifetime = time.Second
+	// closingConns is the number of connections to a backend server that the shares leave: the
+	// server still counts one that was closed while its statement runs.
+	closingConns = 3
+)
 
 // customerShares returns the shares of a holder where connections serve only one customer each. The
 // holders have all of them. Those in the zone of a member take the requests for it, so that the
@@ -32,7 +37,7 @@
 func customerShares(cfg config.Service, zones int) connShares {
 	conns := cfg.MaxConns - reservedControlConns
 	holders := place.HoldersPerZone(conns, zones)
-	near := conns/holders - zones*probeConns - (zones-1)*minConnShare
+	near := (conns-closingConns)/holders - zones*probeConns - (zones-1)*minConnShare
 	return connShares{base: minConnShare, sameZone: max(minConnShare, near), keepIdle: true, fixed: true}
 }
 
@@ -180,7 +185,7 @@
 		case e == nil || slices.Contains(tried, name):
 			continue
 		default:
-			home.InFlight, home.Failing, home.AnsweredSince = len(e.borrowed), e.failing, e.answered
+			home.InFlight, home.Failing, home.AnsweredSince = len(e.borrowed), e.failing, e.unsettled
 			if told := v.homes.loads[name]; v.srv.now().Sub(told.at) <= hintLifetime {
 				home.Load = told.requests
 			}
--- a/proxy/idle.go
+++ b/proxy/idle.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -64,6 +65,28 @@
 	}
 }
 
+// replaceIdle closes the idle connection that is worth least if err says that the server accepts no
+// more connections, and reports whether it did. Another one may then be opened in its place.
+func (m *member) replaceIdle(err error) bool {
+	var f *Fault
+	if !errors.As(err, &f) || f.Code != TooManyConns {
+		return false
+	}
+	now := m.now()
+	m.mu.Lock()
+	if m.demand == nil || len(m.idle) == 0 {
+		m.mu.Unlock()
+		return false
+	}
+	n := m.demand.Victim(m.idleConns(), now)
+	c := m.idle[n]
+	m.idle = slices.Delete(m.idle, n, n+1)
+	m.noDialBefore = time.Time{}
+	m.mu.Unlock()
+	_ = c.Close()
+	return true
+}
+
 // closeExpired closes connections that have reached their idle timeout.
 func (m *member) closeExpired(now time.Time) {
 	inUse, _ := m.connQueue.usage()
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -125,7 +125,10 @@
 		return &borrowedConn{c, permit}, nil
 	}
 	m.makeRoom()
-	if c, err = m.dial(ctx, a.customer); err != nil {
+	if c, err = m.dial(ctx, a.customer); m.replaceIdle(err) {
+		c, err = m.dial(ctx, a.customer)
+	}
+	if err != nil {
 		m.recordReturned(a.customer)
 		permit.release()
 		return nil, err
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -79,7 +79,7 @@
 	borrowed  map[*borrowedLink]struct{}
 	lastHeard time.Time
 	failing   bool      // the last ping was not answered
-	answered  time.Time // when it answered a ping again, after it had failed one
+	unsettled time.Time // when it last answered a ping after it had failed one, or refused a request
 	checking  bool      // pingUntilAnswered is running
 	retired   bool      // the peer has left the list
 }
@@ -334,6 +334,14 @@
 	}
 }
 
+// recordRefusal records that the holder did not process a request, as one that is leaving.
+func (d *borrowedLink) recordRefusal() {
+	now := d.peer.set.srv.now()
+	d.peer.set.mu.Lock()
+	defer d.peer.set.mu.Unlock()
+	d.peer.unsettled = now
+}
+
 // checkHealth starts to ping a peer that was silent for silenceBeforePing, unless
 // this is under way. A peer that does not answer gets no requests until it does, and
 // requests that are safe to run elsewhere end with an error.
@@ -378,7 +386,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e.failing != (err != nil) {
-		e.failing, e.answered = err != nil, p.srv.now()
+		e.failing, e.unsettled = err != nil, p.srv.now()
 		p.srv.log.Info().Str(event.Holder, e.Name).Bool("failing", e.failing).Err(err).Msg("state of a peer changed")
 	}
 	if err == nil || e.retired || p.srv.ctx.Err() != nil {
