--- a/place/load_test.go
+++ b/place/load_test.go
@@ -34,7 +34,7 @@
 	home, spread, valued bool          // customers have a home; large ones are spread; idle connections are kept by their value
 	near, far            int           // connections of a holder to the member of its zone, and to others
 	excess               time.Duration // idle timeout beyond half of the share, or 0
-	remote               bool          // work for the primary goes to the holders of its zone
+	remote               bool          // requests go to holders in the zone of their member
 }
 
 type event struct {
@@ -259,17 +259,17 @@
 	}
 }
 
-// variants are the ways that are compared. Each gives the nine holders 45 connections to a member.
+// variants are the ways that are compared. Each gives the nine holders at most 45 connections to a
+// member.
 var variants = map[string]variant{
-	"before":      {near: 5, far: 5, excess: time.Second},
-	"lru":         {near: 5, far: 5},
-	"lru-zone":    {near: 9, far: 3},
-	"value":       {near: 9, far: 3, valued: true},
-	"hash":        {near: 5, far: 5, home: true},
-	"hash-zone":   {near: 9, far: 3, home: true},
-	"chosen":      {near: 9, far: 3, home: true, spread: true, valued: true},
-	"remote":      {near: 13, far: 1, home: true, spread: true, valued: true, remote: true},
-	"remote-hash": {near: 13, far: 1, home: true, remote: true},
+	"before":   {near: 5, far: 5, excess: time.Second},
+	"lru":      {near: 5, far: 5},
+	"lru-zone": {near: 9, far: 3},
+	"value":    {near: 9, far: 3, valued: true},
+	"hash":     {near: 5, far: 5, home: true},
+	"zone":     {near: 9, far: 3, home: true, spread: true, valued: true},
+	"hash-far": {near: 12, far: 1, home: true, remote: true},
+	"chosen":   {near: 12, far: 1, home: true, spread: true, valued: true, remote: true},
 }
 
 // TestCustomerLoad replays many customers with few connections and guards against dials: also when a
@@ -282,6 +282,7 @@
 			d.MaybeScanArgs(t, "holders", &holders)
 			d.MaybeScanArgs(t, "rate", &rate)
 			var out strings.Builder
+			dials := make(map[string]float64) // a request, in the last step
 			for _, arg := range d.CmdArgs {
 				v, ok := variants[arg.Key]
 				if !ok {
@@ -291,15 +292,19 @@
 				l := newLoad(v, customers, holders)
 				l.run(float64(rate), 20*time.Second)
 				l.reset()
-				l.replay(&out, arg.Key, d.Input, float64(rate))
+				dials[arg.Key] = l.replay(&out, arg.Key, d.Input, float64(rate))
+			}
+			if d.HasArg("halves") && dials["chosen"] > dials["lru"]/2 {
+				t.Errorf("%s: %.3f dials a request, which is more than half of %.3f", d.Pos, dials["chosen"], dials["lru"])
 			}
 			return out.String()
 		})
 	})
 }
 
-// replay runs the steps of a script: "run SECONDS", "lose NAME" and "return NAME".
-func (l *load) replay(out *strings.Builder, name, script string, rate float64) {
+// replay runs the steps of a script: "run DURATION", "lose NAME" and "return NAME". It returns the
+// dials a request in the last one.
+func (l *load) replay(out *strings.Builder, name, script string, rate float64) (dials float64) {
 	for _, line := range strings.Split(strings.TrimSpace(script), "\n") {
 		what, arg, _ := strings.Cut(line, " ")
 		switch what {
@@ -309,8 +314,9 @@
 				fmt.Fprintln(out, err)
 			}
 			l.run(rate, d)
-			fmt.Fprintf(out, "%-11s %-16s dials a request %.2f, share of slot time %.2f, customers moved %d of %d\n", name, line,
-				float64(l.dials)/float64(l.ops), l.dialing.Seconds()/(l.dialing+l.working).Seconds(), l.moved, len(l.homes))
+			dials = float64(l.dials) / float64(l.ops)
+			fmt.Fprintf(out, "%-8s %-8s dials a request %.2f, share of slot time %.2f, customers moved %d of %d\n", name, line,
+				dials, l.dialing.Seconds()/(l.dialing+l.working).Seconds(), l.moved, len(l.homes))
 			l.reset()
 		case "lose":
 			l.lost[arg] = true
@@ -319,6 +325,7 @@
 			l.returned[arg] = l.clock()
 		}
 	}
+	return dials
 }
 
 func (l *load) reset() { l.ops, l.dials, l.moved, l.dialing, l.working = 0, 0, 0, 0, 0 }
--- a/proxy/homes.go
+++ b/proxy/homes.go
@@ -32,13 +32,14 @@
 )
 
 // customerShares returns the shares of a holder where connections serve only one customer each. The
-// holders have all of them. Those in the zone of a member take the requests for it, so that the
-// others have few: for the time until they learn of another primary, or while that zone is cut off.
+// holders have all of them. Those in the zone of a member take the requests for it. The others have
+// one, and more while the server accepts them: until instances learn of another primary, or while
+// that zone is cut off.
 func customerShares(cfg config.Service, zones int) connShares {
 	conns := cfg.MaxConns - reservedControlConns
 	holders := place.HoldersPerZone(conns, zones)
-	near := (conns-closingConns)/holders - zones*probeConns - (zones-1)*minConnShare
-	return connShares{base: minConnShare, sameZone: max(minConnShare, near), keepIdle: true, fixed: true}
+	near := (conns-closingConns)/holders - zones*probeConns - (zones-1)*scarceConnShare
+	return connShares{base: scarceConnShare, sameZone: max(minConnShare, near), keepIdle: true, fixedSameZone: true}
 }
 
 // customerShares returns the shares of this instance. One that only acts as a holder for a while has
@@ -51,7 +52,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !slices.Contains(v.holders, v.srv.name) {
-		shares.sameZone = shares.base
+		shares.sameZone = 0
 	}
 	return shares
 }
@@ -247,7 +248,7 @@
 type customerUse struct {
 	stats              *stats.Registry // nil if nothing is counted
 	dialing, answering atomic.Int64    // time spent on opening connections and on statements, in ns
-	opened             atomic.Int64
+	opened, refused    atomic.Int64    // connections that servers accepted, and refused as too many
 
 	mu     sync.Mutex
 	spread *place.Spread
@@ -328,6 +329,7 @@
 	tags := map[string]string{"service": service}
 	dialing, answering := float64(u.dialing.Load()), float64(u.answering.Load())
 	set("connections_opened", tags, float64(u.opened.Load()))
+	set("connections_refused", tags, float64(u.refused.Load()))
 	set("dial_seconds", tags, dialing/float64(time.Second))
 	set("statement_seconds", tags, answering/float64(time.Second))
 	if dialing+answering > 0 {
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -187,6 +187,7 @@
 	m.mu.Lock()
 	now := m.now()
 	m.quota.recordRefusal(inUse, now)
+	m.use.refused.Add(1)
 	m.noDialBefore = now.Add(dialBackoff)
 	limit := m.quota.limit
 	m.mu.Unlock()
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -120,7 +120,7 @@
 type connShares struct {
 	base, sameZone int  // sameZone replaces base for members in the own zone, unless it is 0
 	keepIdle       bool // keep idle connections for the next request
-	fixed          bool // the quota does not grow with demand
+	fixedSameZone  bool // the quota for members in the own zone does not grow with demand
 }
 
 // updateMembers sets the members to those that the roster lists, and closes the
@@ -193,9 +193,9 @@
 			m.prober.start()
 		}
 		if e.Zone == v.srv.zone && shares.sameZone > 0 {
-			m.setShare(shares.sameZone, true, shares.fixed)
+			m.setShare(shares.sameZone, true, shares.fixedSameZone)
 		} else {
-			m.setShare(shares.base, shares.keepIdle, shares.fixed)
+			m.setShare(shares.base, shares.keepIdle, false)
 		}
 	}
 	for id, m := range v.members {
