--- a/proxy/forward_test.go
+++ b/proxy/forward_test.go
@@ -312,3 +312,67 @@
 		t.Errorf("links to holders %v were closed, want that of one", asked)
 	}
 }
+
+// TestCustomersHaveHomes guards against a customer whose connections are spread over holders, and
+// against one that moves although its holder answers.
+func TestCustomersHaveHomes(t *testing.T) {
+	p := newForwardingHarness(t)
+	for _, m := range []string{"m1 primary", "m2"} {
+		p.addMember(m)
+	}
+	config := []string{"app session 1500ms"}
+	customers := []string{"acme", "bolt", "core", "dune", "echo", "flux"}
+	for _, c := range customers {
+		config = append(config, "customer "+c+" key-"+c)
+	}
+	for _, h := range p.peerClient.holders {
+		h.server.Configure(p.document(strings.Join(config, "\n")))
+		h.server.SetInstanceCount(1)
+	}
+	p.configure(strings.Join(config, "\n"))
+	time.Sleep(500 * time.Millisecond)
+	n := 0
+	// home sends requests of a customer and returns the holder that processed all of them.
+	home := func(customer string) string {
+		p.open(fmt.Sprintf("s%d app key-%s", n, customer))
+		before := p.processedBy()
+		for i := range 4 {
+			if a := p.send(fmt.Sprintf("s%d r%d-%d read x", n, n, i)); !strings.Contains(a, "done") {
+				t.Errorf("%s: %s", customer, a)
+			}
+		}
+		n++
+		var homes []string
+		for name, count := range p.processedBy() {
+			if count > before[name] {
+				homes = append(homes, name)
+			}
+		}
+		if len(homes) != 1 {
+			t.Fatalf("requests of %s were processed by %q", customer, homes)
+		}
+		return homes[0]
+	}
+	homes := make(map[string]string)
+	for _, c := range customers {
+		homes[c] = home(c)
+	}
+	lost := homes[customers[0]]
+	p.setHolderFault(t, lost+" unreachable 1")
+	for _, c := range customers {
+		if got := home(c); got == lost || homes[c] != lost && got != homes[c] {
+			t.Errorf("%s moved from %s to %s when %s was lost", c, homes[c], got, lost)
+		}
+	}
+}
+
+// processedBy returns how many requests each holder has processed.
+func (p *forwardingHarness) processedBy() map[string]int {
+	p.peerClient.mu.Lock()
+	defer p.peerClient.mu.Unlock()
+	out := make(map[string]int)
+	for name, h := range p.peerClient.holders {
+		out[name] = h.processed
+	}
+	return out
+}
--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"tamarackcross/config"
+	"tamarackcross/group"
 	"tamarackcross/place"
 	"tamarackcross/roster"
 )
@@ -58,3 +60,64 @@
 		}
 	}
 }
+
+// TestCustomerSharesFit guards against shares of customers that exceed what a backend server accepts.
+func TestCustomerSharesFit(t *testing.T) {
+	for _, tc := range []struct{ maxConns, zones int }{{56, 3}, {49, 3}, {53, 3}, {166, 4}, {125, 5}, {20, 3}, {12, 1}} {
+		cfg := config.Service{MaxConns: tc.maxConns}
+		holders := place.HoldersPerZone(tc.maxConns-reservedControlConns, tc.zones)
+		shares := customerShares(cfg, tc.zones)
+		sum := holders * (shares.sameZone + (tc.zones-1)*shares.base + tc.zones*probeConns)
+		if most := tc.maxConns - reservedControlConns; sum > most {
+			t.Errorf("%d connections, %d zones: shares add up to %d, want at most %d", tc.maxConns, tc.zones, sum, most)
+		}
+	}
+}
+
+// limitedDialer opens a number of connections and refuses more.
+type limitedDialer struct{ open, limit, dials int }
+
+func (d *limitedDialer) Dial(_ context.Context, t Target) (Conn, error) {
+	d.dials++
+	if d.open >= d.limit {
+		return nil, fault(TooManyConns, "too many connections")
+	}
+	d.open++
+	return &countedConn{dialer: d}, nil
+}
+
+type countedConn struct {
+	aliveConn
+	dialer *limitedDialer
+}
+
+func (c *countedConn) Close() error {
+	c.dialer.open--
+	return nil
+}
+
+// TestFullServer guards against a customer that is refused because the server accepts no more
+// connections, while connections of others are idle here, and against closing the one that is used most.
+func TestFullServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := &limitedDialer{limit: 2}
+	m := newMember(t.Context(), d, roster.Entry{ID: "m1", Slots: 5}, 5, func() time.Time { return now })
+	m.updateLag = func(*member, group.Position) {}
+	m.setShare(5, true, true)
+	use := func(customer string) error {
+		c, err := m.borrow(t.Context(), admissionRequest{caller: customer, customer: customer, startBy: now.Add(time.Second)})
+		if err == nil {
+			m.put(c, true)
+		}
+		now = now.Add(200 * time.Millisecond)
+		return err
+	}
+	for _, customer := range []string{"large", "large", "large", "small", "new", "large"} {
+		if err := use(customer); err != nil {
+			t.Errorf("%s: %v", customer, err)
+		}
+	}
+	if d.dials != 4 { // large, small, and new twice
+		t.Errorf("%d dials, want 4", d.dials)
+	}
+}
