--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -37,7 +37,11 @@
 	start time.Time
 }
 
-func (p permit) release() { p.queue.release(p) }
+func (p permit) release() {
+	if p.queue != nil {
+		p.queue.release(p)
+	}
+}
 
 // usage returns how many permits are in use, and whether a further request would wait.
 func (l *admissionQueue) usage() (inUse int, full bool) {
@@ -54,6 +58,7 @@
 	priority int
 	startBy  time.Time     // latest time at which it may start
 	expected time.Duration // how long it holds its permit, 0 if unknown
+	runs     time.Duration // how long its statement is expected to run, 0 if unknown
 	gone     func() bool   // reports whether the caller has left; nil if that is not known
 }
 
--- a/proxy/idle.go
+++ b/proxy/idle.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"time"
@@ -43,6 +44,17 @@
 	}
 }
 
+// awaitSlot waits until the statement of a customer may run, so that the request takes no connection
+// while it waits: at a load peak the requests that wait for a large customer would else leave no
+// connections for the others. Without customers connections are interchangeable, and it returns at once.
+func (m *member) awaitSlot(ctx context.Context, a admissionRequest) (permit, error) {
+	if a.customer == "" {
+		return permit{}, nil
+	}
+	a.expected = a.runs
+	return m.statementQueue.acquire(ctx, a)
+}
+
 // makeRoom closes idle connections so that together with those in use there are no more than the
 // quota allows: those whose customers are expected to need them last, or without customers the
 // longest unused ones.
@@ -50,6 +62,9 @@
 	inUse, _ := m.connQueue.usage()
 	now := m.now()
 	m.mu.Lock()
+	if m.demand != nil {
+		inUse = m.inUse
+	}
 	var closing []*backendConn
 	for len(m.idle) > 0 && len(m.idle)+inUse > m.quota.limit {
 		n := 0
@@ -89,12 +104,11 @@
 
 // closeExpired closes connections that have reached their idle timeout.
 func (m *member) closeExpired(now time.Time) {
-	inUse, _ := m.connQueue.usage()
 	m.mu.Lock()
 	var expired []*backendConn
 	if m.demand != nil && m.keepIdle {
 		m.demand.Forget(now)
-		for _, n := range slices.Backward(m.demand.Expired(m.idleConns(), inUse, m.quota.share, now)) {
+		for _, n := range slices.Backward(m.demand.Expired(m.idleConns(), m.inUse, m.quota.share, now)) {
 			expired = append(expired, m.idle[n])
 			m.idle = slices.Delete(m.idle, n, n+1)
 		}
@@ -138,11 +152,13 @@
 
 // recordBorrowed records that a request takes an idle connection, or opens one.
 func (m *member) recordBorrowed(customer string, reused bool) {
+	now := m.now()
+	m.mu.Lock()
+	m.inUse++
 	if customer == "" {
+		m.mu.Unlock()
 		return
 	}
-	now := m.now()
-	m.mu.Lock()
 	if m.demand == nil {
 		m.demand = keep.New(keep.WithIdleLimit(connIdleTimeout))
 	}
@@ -154,11 +170,13 @@
 
 // recordReturned records that it gives the connection back, or could not open it.
 func (m *member) recordReturned(customer string) {
+	now := m.now()
+	m.mu.Lock()
+	m.inUse--
 	if customer == "" {
+		m.mu.Unlock()
 		return
 	}
-	now := m.now()
-	m.mu.Lock()
 	m.demand.Returned(customer, now)
 	m.mu.Unlock()
 	m.use.ended(customer, now)
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -38,6 +38,7 @@
 type borrowedConn struct {
 	*backendConn
 	permit permit
+	slot   permit // to run the next statement, if it was acquired before the connection was taken
 }
 
 // member is one incarnation of a backend server: a restart gives a new member.
@@ -57,6 +58,7 @@
 	mu            sync.Mutex
 	entry         roster.Entry
 	idle          []*backendConn
+	inUse         int         // connections that are lent, or being opened
 	demand        *keep.Table // of customers; nil if there are none
 	quota         quota
 	concurrency   concurrencyLimit
@@ -119,21 +121,36 @@
 	if err != nil {
 		return nil, err
 	}
-	c := m.takeIdle(a.customer)
-	m.recordBorrowed(a.customer, c != nil)
+	slot, err := m.awaitSlot(ctx, a)
+	if err != nil {
+		permit.release()
+		return nil, err
+	}
+	c, err := m.takeOrDial(ctx, a.customer)
+	if err != nil {
+		slot.release()
+		permit.release()
+		return nil, err
+	}
+	return &borrowedConn{c, permit, slot}, nil
+}
+
+// takeOrDial returns an idle or a new connection.
+func (m *member) takeOrDial(ctx context.Context, customer string) (*backendConn, error) {
+	c := m.takeIdle(customer)
+	m.recordBorrowed(customer, c != nil)
 	if c != nil {
-		return &borrowedConn{c, permit}, nil
+		return c, nil
 	}
 	m.makeRoom()
-	if c, err = m.dial(ctx, a.customer); m.replaceIdle(err) {
-		c, err = m.dial(ctx, a.customer)
+	c, err := m.dial(ctx, customer)
+	if m.replaceIdle(err) {
+		c, err = m.dial(ctx, customer)
 	}
 	if err != nil {
-		m.recordReturned(a.customer)
-		permit.release()
-		return nil, err
+		m.recordReturned(customer)
 	}
-	return &borrowedConn{c, permit}, nil
+	return c, err
 }
 
 // maxShareFactor bounds the connections of one instance to a server, as a multiple of
@@ -233,8 +250,9 @@
 	if !reusable {
 		_ = c.Close()
 	}
-	c.permit.release()
 	m.recordReturned(c.customer)
+	c.slot.release()
+	c.permit.release()
 }
 
 // close ends the use of the server. Borrowed connections are closed when they are put
@@ -263,13 +281,15 @@
 // execAdmitted waits for a statement slot and runs a statement. limit bounds the wait
 // for the answer. If the admission queue rejects it, or a lease that it needs is missing, an
 // errs.Error says so and nothing has been sent.
-func (c *backendConn) execAdmitted(ctx context.Context, w *operation, limit time.Duration, cmds ...Command) ([]Answer, error) {
-	m := c.member
-	permit, err := m.statementQueue.acquire(ctx, w.admissionRequest(w.svc.expectedDuration(w.session.database)))
-	if err != nil {
-		return nil, err
+func (c *borrowedConn) execAdmitted(ctx context.Context, w *operation, limit time.Duration, cmds ...Command) ([]Answer, error) {
+	m, slot := c.member, c.slot
+	if c.slot = (permit{}); slot == c.slot {
+		var err error
+		if slot, err = m.statementQueue.acquire(ctx, w.admissionRequest(w.svc.expectedDuration(w.session.database))); err != nil {
+			return nil, err
+		}
 	}
-	defer permit.release()
+	defer slot.release()
 	if err := w.requireCustomer(); err != nil {
 		return nil, err
 	}
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -358,7 +358,9 @@
 // borrow borrows a connection to the member. The session gives it back if the operation ends
 // without doing so.
 func (w *operation) borrow(ctx context.Context, m *member) (*borrowedConn, error) {
-	c, err := m.borrow(ctx, w.admissionRequest(0))
+	a := w.admissionRequest(0)
+	a.runs = w.svc.expectedDuration(w.session.database)
+	c, err := m.borrow(ctx, a)
 	w.session.borrowed = c
 	return c, err
 }
