--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -168,7 +168,7 @@
 	if w.route.Freshness == config.Latest || !bound.known {
 		return Answer{}, false
 	}
-	use, ok := w.svc.pickMember(w.routeQuery(now, nil), bound, now).(route.Use)
+	use, ok := w.svc.pickMember(w.routeQuery(now, nil), bound, w.session.customer, now).(route.Use)
 	if !ok || use.Confirm {
 		return Answer{}, false
 	}
--- a/proxy/homes.go
+++ b/proxy/homes.go
@@ -145,7 +145,7 @@
 		return w.svc.primaryMember()
 	}
 	now := w.now()
-	switch choice := w.svc.pickMember(w.routeQuery(now, nil), bound, now).(type) {
+	switch choice := w.svc.pickMember(w.routeQuery(now, nil), bound, w.session.customer, now).(type) {
 	case route.Use:
 		return w.svc.member(choice.Name)
 	case route.Wait:
--- a/proxy/idle.go
+++ b/proxy/idle.go
@@ -80,6 +80,34 @@
 	}
 }
 
+// dialWeight is the weight of one dial in the moving average of their durations.
+const dialWeight = 0.1
+
+// recordDial records how long the opening of a connection took.
+func (m *member) recordDial(took time.Duration) {
+	m.use.recordDial(took)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.meanDial == 0 {
+		m.meanDial = took
+	}
+	m.meanDial += time.Duration(dialWeight * float64(took-m.meanDial))
+}
+
+// dialDelay returns how long a request of the customer waits for its connection: 0 if one is idle here,
+// or if there are no customers.
+func (m *member) dialDelay(customer string) time.Duration {
+	if customer == "" {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if slices.ContainsFunc(m.idle, func(c *backendConn) bool { return c.customer == customer }) {
+		return 0
+	}
+	return m.meanDial
+}
+
 // replaceIdle closes the idle connection that is worth least if err says that the server accepts no
 // more connections, and reports whether it did. Another one may then be opened in its place.
 func (m *member) replaceIdle(err error) bool {
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -58,8 +58,9 @@
 	mu            sync.Mutex
 	entry         roster.Entry
 	idle          []*backendConn
-	inUse         int         // connections that are lent, or being opened
-	demand        *keep.Table // of customers; nil if there are none
+	inUse         int           // connections that are lent, or being opened
+	meanDial      time.Duration // moving average of the time that a dial takes
+	demand        *keep.Table   // of customers; nil if there are none
 	quota         quota
 	concurrency   concurrencyLimit
 	noDialBefore  time.Time     // backoff after the server refused a connection
@@ -231,7 +232,7 @@
 		}
 		return nil, errs.New(errs.NotRun, errs.ReasonConnect, err.Error())
 	}
-	m.use.recordDial(m.now().Sub(began))
+	m.recordDial(m.now().Sub(began))
 	m.updateLag(m, conn.Position())
 	return &backendConn{Conn: conn, member: m, customer: customer, values: map[string]string{}, prepared: map[string]PreparedStatement{}}, nil
 }
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -211,7 +211,7 @@
 		if w.route.Freshness == config.Latest {
 			return w.confirmPrimary(ctx, now)
 		}
-		switch choice := w.svc.pickMember(w.routeQuery(now, exclude), bound, now).(type) {
+		switch choice := w.svc.pickMember(w.routeQuery(now, exclude), bound, w.session.customer, now).(type) {
 		case route.Use:
 			if choice.Confirm {
 				return w.confirmPrimary(ctx, now)
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -424,13 +424,13 @@
 
 // pickMember chooses the member for a read. Members whose estimated lag is below the
 // age of the bound are expected to hold it.
-func (v *service) pickMember(q route.Query, bound readBound, now time.Time) route.Choice {
+func (v *service) pickMember(q route.Query, bound readBound, customer string, now time.Time) route.Choice {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.extendHistory(bound.position.Term)
 	g := route.Group{Term: v.maxTerm, History: v.history, Primary: v.primary, Samples: &v.samples}
 	for _, m := range v.members {
-		g.Members = append(g.Members, v.routeMember(m, bound, q.Priority, now))
+		g.Members = append(g.Members, v.routeMember(m, bound, q.Priority, customer, now))
 	}
 	slices.SortFunc(g.Members, func(a, b route.Member) int {
 		if a.Name < b.Name {
@@ -465,13 +465,13 @@
 }
 
 // routeMember describes a member for the routing decision.
-func (v *service) routeMember(m *member, bound readBound, priority int, now time.Time) route.Member {
+func (v *service) routeMember(m *member, bound readBound, priority int, customer string, now time.Time) route.Member {
 	e := m.snapshot()
 	inUse := m.connQueue.load()
 	lag := m.estimatedLag()
 	out := route.Member{
 		Name: e.ID, Zone: e.Zone, Primary: e.Primary && e.ID != v.primary,
-		Lag: lag, AsOf: now, Load: float64(inUse) / float64(max(1, e.Slots)), QueueWait: m.expectedWait(priority),
+		Lag: lag, AsOf: now, Load: float64(inUse) / float64(max(1, e.Slots)), QueueWait: m.expectedWait(priority) + m.dialDelay(customer),
 		BreakerOpen: !v.breakers.Usable(e.ID, now) || m.failingFor(now) > 0,
 		Leaving:     e.State == roster.Draining, Weight: v.breakers.Weight(e.ID, now),
 	}
