--- a/proxy/service.go
+++ b/proxy/service.go
@@ -360,9 +360,10 @@
 	return true
 }
 
-// newestProof returns the newest proof of primary, with the lags of the members in the zone of
-// this instance, or nil if there is none.
+// newestProof returns the newest proof of primary, or nil if there is none. It has the lags of the members
+// in the zone of this instance, or of all where requests are forwarded to all zones.
 func (v *service) newestProof(now time.Time) *Proof {
+	all := v.srv.ForwardsToAllZones()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	n := len(v.timedSamples)
@@ -372,7 +373,7 @@
 	last := v.timedSamples[n-1]
 	p := &Proof{Member: v.primary, Position: last.position, Age: max(0, now.Sub(last.at)), Lags: make(map[string]time.Duration)}
 	for id, m := range v.members {
-		if m.snapshot().Zone == v.srv.zone {
+		if all || m.snapshot().Zone == v.srv.zone {
 			p.Lags[id] = m.estimatedLag()
 		}
 	}
