--- a/place/customer_test.go
+++ b/place/customer_test.go
@@ -72,7 +72,7 @@
 	s, now := place.NewSpread(), time.Unix(0, 0)
 	steps := 0
 	run := func(d time.Duration, inFlight int) int {
-		width := s.Width("c", 3, now)
+		width, _ := s.Width("c", 3, now)
 		for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
 			for range inFlight / width { // each holder has as many
 				s.Began("c", now)
@@ -80,7 +80,11 @@
 			for range inFlight / width {
 				s.Ended("c", now.Add(20*time.Millisecond))
 			}
-			if w := s.Width("c", 3, now); w != width {
+			w, changed := s.Width("c", 3, now)
+			if changed != (w != width) {
+				t.Fatalf("from %d to %d holders, changed %t", width, w, changed)
+			}
+			if changed {
 				width, steps = w, steps+1
 			}
 		}
@@ -98,7 +102,7 @@
 		t.Errorf("the number of holders changed %d times", steps)
 	}
 	s.Forget(now.Add(time.Minute))
-	if got := s.Width("c", 3, now); got != 1 {
+	if got, _ := s.Width("c", 3, now); got != 1 {
 		t.Errorf("a forgotten customer has %d holders", got)
 	}
 }
--- a/place/load_test.go
+++ b/place/load_test.go
@@ -200,7 +200,7 @@
 	}
 	width := 1
 	if s := l.spreads[ranked[0]]; s != nil && l.spread {
-		width = s.Width(customer, len(ranked), l.clock())
+		width, _ = s.Width(customer, len(ranked), l.clock())
 	}
 	name, ok := place.ChooseHome(homes, width, l.clock(), l.rnd)
 	key := fmt.Sprint(zone, customer)
--- a/place/spread.go
+++ b/place/spread.go
@@ -61,12 +61,14 @@
 	}
 }
 
-// Width returns over how many of holders the requests of the customer are to be spread.
-func (s *Spread) Width(customer string, holders int, now time.Time) int {
+// Width returns over how many of holders the requests of the customer are to be spread, and whether
+// that has changed since the last call.
+func (s *Spread) Width(customer string, holders int, now time.Time) (width int, changed bool) {
 	c := s.customers[customer]
 	if c == nil {
-		return 1
+		return 1, false
 	}
+	was := c.width
 	c.advance(now)
 	c.width = min(max(1, c.width), max(1, holders))
 	total := c.mean * float64(c.width)
@@ -81,7 +83,7 @@
 	case now.Sub(c.lowSince) >= narrowDelay:
 		c.width, c.lowSince = c.width-1, time.Time{}
 	}
-	return c.width
+	return c.width, c.width != was
 }
 
 // Forget drops customers that have had no request for a while.
