--- a/host/peers.go
+++ b/host/peers.go
@@ -85,8 +85,8 @@
 	return out
 }
 
-// putKnown stores the entries that a request of a control instance lists. It leaves the list out if
-// it was stored before.
+// putKnown stores the entries that a request of a control instance lists. A request leaves out a list
+// that was stored before, and an empty one.
 func (t *reportTable) putKnown(in *mesh.SyncRequest, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -95,9 +95,12 @@
 	case in.KnownPeers != nil:
 		t.known[in.Name] = knownPeers{zonePeers{in.KnownPeers, in.KnownPeersDigest}, now}
 		t.summaryAt = time.Time{}
-	case stored:
+	case stored && (in.ReportOnly || in.KnownPeersDigest == old.digest):
 		old.at = now
 		t.known[in.Name] = old
+	case stored:
+		delete(t.known, in.Name)
+		t.summaryAt = time.Time{}
 	}
 }
 
--- a/host/peers_test.go
+++ b/host/peers_test.go
@@ -69,6 +69,12 @@
 	now = now.Add(knownRetention)
 	report()
 	want("cut off for long", "b", "b1@")
+	tell("b", "a")
+	want("told again", "a", "a1@ a2@ b1@b")
+	now = now.Add(2 * reportTimeout)
+	entry("a", "a1", instanceReport{})
+	tell("b", "a") // no entry reports to b any more
+	want("no entries", "a", "a1@")
 }
 
 // TestPeersAreRetained guards against holders that change because entries report to another control
