place: holders have places, so that a lost one moves its customers alone

Cause: the holders of a service were ranked by name, so that a new one took customers of the others as well, and the limit on services of an instance moved 6.3 of 24 holders for each entry that was lost (27 entries, by a model of the old assignment).

Change: AssignSlots gives each holder a place, by the heaviest pairs of place and instance first; customers are ranked by place.

--- a/place/customer.go
+++ b/place/customer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/twmb/murmur3"
@@ -19,18 +20,23 @@
 	passOnSlack  = 8
 )
 
-// Ranker orders the holders of a service for each customer by a hash of both (rendezvous hashing).
-// When a holder is lost, only its customers get another one.
+// Ranker orders the holders of a service for each customer by a hash of the customer and the place of
+// the holder (rendezvous hashing). When another instance takes the place of a holder, or it stays
+// empty, only the customers of that holder get another one.
 type Ranker struct {
 	holders []string
 	seeds   []uint64
 }
 
-// NewRanker returns the ranker for the holders of a service.
+// NewRanker returns the ranker for the holders of a service, by their places. An empty name is a place
+// without a holder.
 func NewRanker(service string, holders []string) *Ranker {
-	r := &Ranker{holders: slices.Clone(holders)}
-	for _, name := range holders {
-		r.seeds = append(r.seeds, murmur3.StringSum64(service+"\x00"+name))
+	r := new(Ranker)
+	for n, name := range holders {
+		if name != "" {
+			r.holders = append(r.holders, name)
+			r.seeds = append(r.seeds, murmur3.StringSum64(service+"\x00"+strconv.Itoa(n)))
+		}
 	}
 	return r
 }
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -69,6 +69,16 @@
 	mu     sync.Mutex
 	list   []Peer
 	byName map[string]*peer
+	// assigned is the last result of assignHolders.
+	assigned assignment
+}
+
+// assignment holds the holders, by zone and service, with what they follow from beside the list of
+// instances.
+type assignment struct {
+	doc              *config.Document
+	instances, zones int
+	holders          map[string]map[string][]string
 }
 
 // peer is another instance. All fields but Peer and set are guarded by set.mu.
@@ -106,7 +116,7 @@
 	if slices.Equal(list, p.list) {
 		return false
 	}
-	p.list = slices.Clone(list)
+	p.list, p.assigned = slices.Clone(list), assignment{}
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.Name] = true
@@ -141,25 +151,34 @@
 }
 
 // assignHolders returns the holders of those services that have too few connections for all
-// instances, by zone and service. The own zone is "".
+// instances, by zone and service. It keeps the last result, for the same arguments.
 func (p *peerSet) assignHolders(doc *config.Document, instances, zones int) map[string]map[string][]string {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	in := assignment{doc: doc, instances: instances, zones: zones}
+	if p.assigned.holders != nil && p.assigned.doc == doc && p.assigned.instances == instances && p.assigned.zones == zones {
+		return p.assigned.holders
+	}
 	names := make(map[string][]string)
 	for _, e := range p.list {
 		names[e.Zone] = append(names[e.Zone], e.Name)
 	}
-	p.mu.Unlock()
 	var counts []place.HolderCount
 	for name, cfg := range doc.Services {
 		if connsScarce(cfg, instances) {
 			counts = append(counts, place.HolderCount{Service: name, Holders: place.HoldersPerZone(cfg.MaxConns-reservedControlConns, zones)})
 		}
 	}
-	out := make(map[string]map[string][]string, len(names))
+	in.holders = make(map[string]map[string][]string, len(names))
 	for zone, list := range names {
-		out[zone] = place.Assign(counts, list)
+		if len(doc.Customers) > 0 {
+			in.holders[zone] = place.AssignSlots(counts, list)
+		} else {
+			in.holders[zone] = place.Assign(counts, list)
+		}
 	}
-	return out
+	p.assigned = in
+	return in.holders
 }
 
 // closeExpiredLinks closes links that have reached their idle timeout.
@@ -416,7 +435,7 @@
 // setHolders sets the holders of the service by zone, and reports whether this instance acts as
 // one.
 func (v *service) setHolders(byZone map[string][]string, now time.Time) bool {
-	names := byZone[ownZone]
+	names := slices.DeleteFunc(slices.Clone(byZone[ownZone]), func(name string) bool { return name == "" })
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.moveCustomers(byZone)
