--- a/place/customer.go
+++ b/place/customer.go
@@ -78,28 +78,28 @@
 	return x ^ x>>33
 }
 
-// Home is a holder as one that keeps connections of a customer, as seen by the instance that
+// RankedHolder is a holder as one that keeps connections of a customer, as seen by the instance that
 // forwards a request.
-type Home struct {
+type RankedHolder struct {
 	Holder
 	Load          int       // requests under way at the holder, as it told last
 	AnsweredSince time.Time // when it answered again after it had failed, or zero
 }
 
-func (h Home) requests() int { return max(h.Load, h.InFlight) }
+func (h RankedHolder) requests() int { return max(h.Load, h.InFlight) }
 
 // usable reports whether requests go to the holder while another one can take them.
-func (h Home) usable(now time.Time) bool {
+func (h RankedHolder) usable(now time.Time) bool {
 	return !h.Failing && (h.AnsweredSince.IsZero() || now.Sub(h.AnsweredSince) >= returnDelay)
 }
 
-// ChooseHome returns the holder for a request of a customer. ranked holds the holders of the
+// ChooseRanked returns the holder for a request of a customer. ranked holds the holders of the
 // service in the order of the customer, and width is the number of holders over which its requests
 // are spread. The first usable ones take them, by power of two choices if there are several. One
 // that is far behind the next in the order passes the choice on to it. The result is false if no
 // holder answers.
-func ChooseHome(ranked []Home, width int, now time.Time, rnd *rand.Rand) (string, bool) {
-	var buf [8]Home
+func ChooseRanked(ranked []RankedHolder, width int, now time.Time, rnd *rand.Rand) (string, bool) {
+	var buf [8]RankedHolder
 	usable := buf[:0]
 	for _, h := range ranked {
 		if h.usable(now) {
--- a/place/customer_test.go
+++ b/place/customer_test.go
@@ -108,12 +108,12 @@
 	}
 }
 
-// TestChooseHome guards against requests at a holder that does not answer while another does, and
+// TestChooseRanked guards against requests at a holder that does not answer while another does, and
 // against a choice beyond the first holders of a customer while these have little to do.
-func TestChooseHome(t *testing.T) {
+func TestChooseRanked(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		ranked := make([]place.Home, rapid.IntRange(0, 4).Draw(t, "holders"))
+		ranked := make([]place.RankedHolder, rapid.IntRange(0, 4).Draw(t, "holders"))
 		answering := 0
 		for i := range ranked {
 			h := &ranked[i]
@@ -127,15 +127,15 @@
 			}
 		}
 		width := rapid.IntRange(0, 5).Draw(t, "width")
-		name, ok := place.ChooseHome(ranked, width, now, rand.New(rand.NewPCG(1, 2)))
+		name, ok := place.ChooseRanked(ranked, width, now, rand.New(rand.NewPCG(1, 2)))
 		if ok != (answering > 0) {
 			t.Fatalf("chose %t of %d holders that answer", ok, answering)
 		}
-		i := slices.IndexFunc(ranked, func(h place.Home) bool { return h.Name == name })
+		i := slices.IndexFunc(ranked, func(h place.RankedHolder) bool { return h.Name == name })
 		switch {
 		case ok && ranked[i].Failing:
 			t.Fatalf("chose %s, which does not answer", name)
-		case ok && i >= max(1, width) && answering == len(ranked) && !slices.ContainsFunc(ranked, func(h place.Home) bool {
+		case ok && i >= max(1, width) && answering == len(ranked) && !slices.ContainsFunc(ranked, func(h place.RankedHolder) bool {
 			return !h.AnsweredSince.IsZero() || max(h.Load, h.InFlight) > 8
 		}):
 			t.Fatalf("chose %s of %+v", name, ranked)
--- a/place/load_test.go
+++ b/place/load_test.go
@@ -31,10 +31,10 @@
 
 // variant is a way to place customers and to keep connections.
 type variant struct {
-	home, spread, valued bool          // customers have a home; large ones are spread; idle connections are kept by their value
-	near, far            int           // connections of a holder to the member of its zone, and to others
-	excess               time.Duration // idle timeout beyond half of the share, or 0
-	remote               bool          // requests go to holders in the zone of their member
+	placed, spread, valued bool          // customers have a holder; large ones are spread; idle connections are kept by their value
+	near, far              int           // connections of a holder to the member of its zone, and to others
+	excess                 time.Duration // idle timeout beyond half of the share, or 0
+	remote                 bool          // requests go to holders in the zone of their member
 }
 
 type event struct {
@@ -72,7 +72,7 @@
 	lost    map[string]bool
 	spreads map[string]*place.Spread
 	pools   map[string]*connPool
-	homes   map[string]string // last holder, by customer and zone
+	holders map[string]string // last holder, by customer and zone
 
 	returned map[string]time.Time
 
@@ -81,7 +81,7 @@
 }
 
 func newLoad(v variant, customers, holders int) *load {
-	l := &load{variant: v, rnd: rand.New(rand.NewPCG(7, 11)), lost: map[string]bool{}, spreads: map[string]*place.Spread{}, pools: map[string]*connPool{}, homes: map[string]string{}, returned: map[string]time.Time{}}
+	l := &load{variant: v, rnd: rand.New(rand.NewPCG(7, 11)), lost: map[string]bool{}, spreads: map[string]*place.Spread{}, pools: map[string]*connPool{}, holders: map[string]string{}, returned: map[string]time.Time{}}
 	for n := range customers {
 		l.weights = append(l.weights, 1/math.Pow(float64(n+1), skew))
 	}
@@ -183,31 +183,31 @@
 
 // choose returns the holder for a request of callers in the zone.
 func (l *load) choose(zone int, customer string) (string, bool) {
-	ranked := l.rankers[zone].Rank(customer, loadZones, nil)
-	var homes []place.Home
-	for _, name := range ranked {
-		h := place.Home{Holder: place.Holder{Name: name, Failing: l.lost[name]}, AnsweredSince: l.returned[name]}
+	names := l.rankers[zone].Rank(customer, loadZones, nil)
+	var ranked []place.RankedHolder
+	for _, name := range names {
+		h := place.RankedHolder{Holder: place.Holder{Name: name, Failing: l.lost[name]}, AnsweredSince: l.returned[name]}
 		for member := range loadZones {
 			if p := l.pools[fmt.Sprint(name, "/", member)]; p != nil && l.spread {
 				h.Load += p.inUse
 			}
 		}
-		homes = append(homes, h)
+		ranked = append(ranked, h)
 	}
-	if !l.home {
-		homes = slices.DeleteFunc(homes, func(h place.Home) bool { return h.Failing })
-		return homes[l.rnd.IntN(len(homes))].Name, true
+	if !l.placed {
+		ranked = slices.DeleteFunc(ranked, func(h place.RankedHolder) bool { return h.Failing })
+		return ranked[l.rnd.IntN(len(ranked))].Name, true
 	}
 	width := 1
-	if s := l.spreads[ranked[0]]; s != nil && l.spread {
-		width, _ = s.Width(customer, len(ranked), l.clock())
+	if s := l.spreads[names[0]]; s != nil && l.spread {
+		width, _ = s.Width(customer, len(names), l.clock())
 	}
-	name, ok := place.ChooseHome(homes, width, l.clock(), l.rnd)
+	name, ok := place.ChooseRanked(ranked, width, l.clock(), l.rnd)
 	key := fmt.Sprint(zone, customer)
-	if last := l.homes[key]; last != "" && last != name && width == 1 {
+	if last := l.holders[key]; last != "" && last != name && width == 1 {
 		l.moved++
 	}
-	l.homes[key] = name
+	l.holders[key] = name
 	return name, ok
 }
 
@@ -266,10 +266,10 @@
 	"lru":      {near: 5, far: 5},
 	"lru-zone": {near: 9, far: 3},
 	"value":    {near: 9, far: 3, valued: true},
-	"hash":     {near: 5, far: 5, home: true},
-	"zone":     {near: 9, far: 3, home: true, spread: true, valued: true},
-	"hash-far": {near: 12, far: 1, home: true, remote: true},
-	"chosen":   {near: 12, far: 1, home: true, spread: true, valued: true, remote: true},
+	"hash":     {near: 5, far: 5, placed: true},
+	"zone":     {near: 9, far: 3, placed: true, spread: true, valued: true},
+	"hash-far": {near: 12, far: 1, placed: true, remote: true},
+	"chosen":   {near: 12, far: 1, placed: true, spread: true, valued: true, remote: true},
 }
 
 // TestCustomerLoad replays many customers with few connections and guards against dials: also when a
@@ -316,7 +316,7 @@
 			l.run(rate, d)
 			dials = float64(l.dials) / float64(l.ops)
 			fmt.Fprintf(out, "%-8s %-8s dials a request %.2f, share of slot time %.2f, customers moved %d of %d\n", name, line,
-				dials, l.dialing.Seconds()/(l.dialing+l.working).Seconds(), l.moved, len(l.homes))
+				dials, l.dialing.Seconds()/(l.dialing+l.working).Seconds(), l.moved, len(l.holders))
 			l.reset()
 		case "lose":
 			l.lost[arg] = true
--- a/proxy/homes.go
+++ b/proxy/customer_holders.go
@@ -58,15 +58,15 @@
 // ownZone is the key of the own zone in lists by zone.
 const ownZone = ""
 
-// homeTable is what an instance knows of the holders of customers. It is guarded by mu of the
+// customerHolders is what an instance knows of the holders of customers. It is guarded by mu of the
 // service.
-type homeTable struct {
-	zones map[string]*zoneHomes
+type customerHolders struct {
+	zones map[string]*zoneHolders
 	loads map[string]toldLoad // by holder
 }
 
-// zoneHomes are the holders of one zone.
-type zoneHomes struct {
+// zoneHolders are the holders of one zone.
+type zoneHolders struct {
 	holders []string
 	ranker  *place.Ranker
 	widths  map[string]int // by customer, if more than one holder has it
@@ -79,26 +79,26 @@
 
 // moveCustomers sets the holders of all zones. The caller holds v.mu.
 func (v *service) moveCustomers(byZone map[string][]string) {
-	old := v.homes.zones
-	v.homes.zones = make(map[string]*zoneHomes, len(byZone))
+	old := v.customerHolders.zones
+	v.customerHolders.zones = make(map[string]*zoneHolders, len(byZone))
 	for zone, names := range byZone {
 		h := old[zone]
 		if h == nil || !slices.Equal(h.holders, names) {
-			h = &zoneHomes{holders: names, ranker: place.NewRanker(v.name, names), widths: make(map[string]int)}
+			h = &zoneHolders{holders: names, ranker: place.NewRanker(v.name, names), widths: make(map[string]int)}
 			if was := old[zone]; was != nil && zone == ownZone {
 				v.logMoves(was, h)
 			}
 		}
-		v.homes.zones[zone] = h
+		v.customerHolders.zones[zone] = h
 	}
-	if v.homes.loads == nil {
-		v.homes.loads = make(map[string]toldLoad)
+	if v.customerHolders.loads == nil {
+		v.customerHolders.loads = make(map[string]toldLoad)
 	}
-	maps.DeleteFunc(v.homes.loads, func(_ string, told toldLoad) bool { return v.srv.now().Sub(told.at) > hintLifetime })
+	maps.DeleteFunc(v.customerHolders.loads, func(_ string, told toldLoad) bool { return v.srv.now().Sub(told.at) > hintLifetime })
 }
 
 // logMoves logs how many customers get another holder.
-func (v *service) logMoves(was, is *zoneHomes) {
+func (v *service) logMoves(was, is *zoneHolders) {
 	doc := v.srv.doc.Load()
 	if doc == nil || len(doc.Customers) == 0 {
 		return
@@ -153,43 +153,43 @@
 	}
 }
 
-// chooseHome returns the holder to which a request of the customer is forwarded, or nil if this
+// chooseCustomerHolder returns the holder to which a request of the customer is forwarded, or nil if this
 // instance is to run it or no holder answers. The caller holds v.mu and the mutex of the peers.
-func (v *service) chooseHome(to destination, tried []string) *peer {
+func (v *service) chooseCustomerHolder(to destination, tried []string) *peer {
 	zones := []string{to.zone, ownZone}
 	if to.zone == ownZone {
 		zones = zones[:1]
 	}
 	for _, zone := range zones {
-		h := v.homes.zones[zone]
+		h := v.customerHolders.zones[zone]
 		if h == nil {
 			continue
 		}
-		if name, ok := place.ChooseHome(v.rankedHomes(h, to.customer, tried), h.widths[to.customer], v.srv.now(), v.rnd); ok {
+		if name, ok := place.ChooseRanked(v.rankedHolders(h, to.customer, tried), h.widths[to.customer], v.srv.now(), v.rnd); ok {
 			return v.srv.peers.byName[name] // nil for this instance
 		}
 	}
 	return nil
 }
 
-// rankedHomes returns the holders for the customer, the highest ranked first, without those in tried.
-func (v *service) rankedHomes(h *zoneHomes, customer string, tried []string) []place.Home {
-	var out []place.Home
-	for _, name := range h.ranker.Rank(customer, place.MaxHolders, nil) {
-		home := place.Home{Holder: place.Holder{Name: name}}
+// rankedHolders returns the holders for the customer, the highest ranked first, without those in tried.
+func (v *service) rankedHolders(zone *zoneHolders, customer string, tried []string) []place.RankedHolder {
+	var out []place.RankedHolder
+	for _, name := range zone.ranker.Rank(customer, place.MaxHolders, nil) {
+		h := place.RankedHolder{Holder: place.Holder{Name: name}}
 		e := v.srv.peers.byName[name]
 		switch {
 		case name == v.srv.name:
-			home.Load = v.loadLocked()
+			h.Load = v.loadLocked()
 		case e == nil || slices.Contains(tried, name):
 			continue
 		default:
-			home.InFlight, home.Failing, home.AnsweredSince = len(e.borrowed), e.failing, e.unsettled
-			if told := v.homes.loads[name]; v.srv.now().Sub(told.at) <= hintLifetime {
-				home.Load = told.requests
+			h.InFlight, h.Failing, h.AnsweredSince = len(e.borrowed), e.failing, e.unsettled
+			if told := v.customerHolders.loads[name]; v.srv.now().Sub(told.at) <= hintLifetime {
+				h.Load = told.requests
 			}
 		}
-		out = append(out, home)
+		out = append(out, h)
 	}
 	return out
 }
@@ -225,11 +225,11 @@
 	now, p := v.srv.now(), v.srv.peers
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	h := v.homes.zones[holder.Zone]
+	h := v.customerHolders.zones[holder.Zone]
 	if h == nil {
 		return
 	}
-	v.homes.loads[holder.Name] = toldLoad{requests: hint.Load, at: now}
+	v.customerHolders.loads[holder.Name] = toldLoad{requests: hint.Load, at: now}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, name := range h.ranker.Rank(customer, place.MaxHolders, nil) {
--- a/proxy/forward_test.go
+++ b/proxy/forward_test.go
@@ -313,9 +313,9 @@
 	}
 }
 
-// TestCustomersHaveHomes guards against a customer whose connections are spread over holders, and
+// TestCustomersKeepTheirHolder guards against a customer whose connections are spread over holders, and
 // against one that moves although its holder answers.
-func TestCustomersHaveHomes(t *testing.T) {
+func TestCustomersKeepTheirHolder(t *testing.T) {
 	p := newForwardingHarness(t)
 	for _, m := range []string{"m1 primary", "m2"} {
 		p.addMember(m)
@@ -332,8 +332,8 @@
 	p.configure(strings.Join(config, "\n"))
 	time.Sleep(500 * time.Millisecond)
 	n := 0
-	// home sends requests of a customer and returns the holder that processed all of them.
-	home := func(customer string) string {
+	// holder sends requests of a customer and returns the holder that processed all of them.
+	holder := func(customer string) string {
 		p.open(fmt.Sprintf("s%d app key-%s", n, customer))
 		before := p.processedBy()
 		for i := range 4 {
@@ -342,26 +342,26 @@
 			}
 		}
 		n++
-		var homes []string
+		var holders []string
 		for name, count := range p.processedBy() {
 			if count > before[name] {
-				homes = append(homes, name)
+				holders = append(holders, name)
 			}
 		}
-		if len(homes) != 1 {
-			t.Fatalf("requests of %s were processed by %q", customer, homes)
+		if len(holders) != 1 {
+			t.Fatalf("requests of %s were processed by %q", customer, holders)
 		}
-		return homes[0]
+		return holders[0]
 	}
-	homes := make(map[string]string)
+	holders := make(map[string]string)
 	for _, c := range customers {
-		homes[c] = home(c)
+		holders[c] = holder(c)
 	}
-	lost := homes[customers[0]]
+	lost := holders[customers[0]]
 	p.setHolderFault(t, lost+" unreachable 1")
 	for _, c := range customers {
-		if got := home(c); got == lost || homes[c] != lost && got != homes[c] {
-			t.Errorf("%s moved from %s to %s when %s was lost", c, homes[c], got, lost)
+		if got := holder(c); got == lost || holders[c] != lost && got != holders[c] {
+			t.Errorf("%s moved from %s to %s when %s was lost", c, holders[c], got, lost)
 		}
 	}
 }
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -230,7 +230,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if to.customer != "" {
-		return v.chooseHome(to, tried)
+		return v.chooseCustomerHolder(to, tried)
 	}
 	if slices.Contains(v.holders, v.srv.name) {
 		return nil
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -62,16 +62,16 @@
 	samples             route.Samples
 	timedSamples        []timedPosition // positions of the primary with their times, oldest first
 	proofWaiters        map[*proofWaiter]struct{}
-	controlProbes       bool          // the control instances probe the members for this instance
-	holders             []string      // instances of the zone that hold the connections, empty if all do
-	isHolder            bool          // this instance is a holder, or acts as one for temporaryHolderPeriod
-	lastForwardReceived time.Time     // last request that another instance forwarded here
-	tightestMaxAge      time.Duration // least MaxAge of the routes, or 0 if none has one
-	lastHolderProof     time.Time     // newest proof of primary known to a holder
-	lastForwardSent     time.Time     // last request forwarded to a holder
-	lastDirectUse       time.Time     // last request that needed the primary and was not forwarded
-	homes               homeTable     // which holder keeps the connections of a customer
-	use                 *customerUse  // of connections, by customers
+	controlProbes       bool            // the control instances probe the members for this instance
+	holders             []string        // instances of the zone that hold the connections, empty if all do
+	isHolder            bool            // this instance is a holder, or acts as one for temporaryHolderPeriod
+	lastForwardReceived time.Time       // last request that another instance forwarded here
+	tightestMaxAge      time.Duration   // least MaxAge of the routes, or 0 if none has one
+	lastHolderProof     time.Time       // newest proof of primary known to a holder
+	lastForwardSent     time.Time       // last request forwarded to a holder
+	lastDirectUse       time.Time       // last request that needed the primary and was not forwarded
+	customerHolders     customerHolders // which holder keeps the connections of a customer
+	use                 *customerUse    // of connections, by customers
 	fetcher             *proofFetcher
 	baselines           map[string]*durationBaseline // by database
 	breakers            *retry.Group
