host, proxy, mesh: caps of customers are enforced

What callers saw: operations beyond the cap of a customer were served. Change: with a bound in the settings and a rate in the configuration, each statement outside a transaction and each transaction needs a token of its customer before it is routed or forwarded, and another one if it is sent later than 300 ms after that or again after an attempt that may have run. An instance gets its tokens from the leader of control (call Caps). Without a token a request is refused at once as not run, with the time after which there will be one. Without bounds or rates nothing changes.

--- a/caps/caps.go
+++ b/caps/caps.go
@@ -160,6 +160,7 @@
 	_        struct{} `cbor:",toarray"`
 	Customer string
 	Lent     int64                  // all tokens lent since the holder began to count, its claim included
+	Void     int64                  // of these, to be dropped unless received before
 	Depth    int64                  // of the bucket, rounded up
 	Admit    int                    // lowest class that may spend tokens now; -1 for none
 	Wait     [classes]time.Duration // if tokens are short: until there will be one for all that wait or were refused
--- a/caps/holder.go
+++ b/caps/holder.go
@@ -211,6 +211,15 @@
 	return max(least, time.Duration(part*float64(wait)))
 }
 
+// Stocks returns the tokens of all customers that the holder has, and those that it wants.
+func (h *Holder) Stocks() (tokens, wanted int64) {
+	for _, s := range h.stocks {
+		tokens += s.tokens
+		wanted += s.want
+	}
+	return tokens, wanted
+}
+
 // Answered reports whether the answer to an Ask, or to a later one, has been applied.
 func (h *Holder) Answered(number uint64) bool { return h.answered >= number }
 
@@ -367,7 +376,7 @@
 		s.depth = 0
 	}
 	if n := in.Lent - s.received; n > 0 {
-		kept := n
+		kept := min(n, in.Lent-in.Void)
 		if depth := float64(in.Depth); !s.capped || g.Version < h.version && depth > s.cap.Depth {
 			kept = 0 // the owner does not know the lower cap yet
 		} else {
--- a/caps/owner.go
+++ b/caps/owner.go
@@ -47,6 +47,7 @@
 // account is what a holder has of a customer.
 type account struct {
 	lent     int64 // the claim included
+	void     int64 // lent before the cap was lowered
 	gone     int64 // as reported
 	returned int64 // as reported
 	unmet    [classes]int
@@ -108,6 +109,9 @@
 // Term returns the term of the owner.
 func (o *Owner) Term() uint64 { return o.term }
 
+// Version returns the version of the configuration by which the owner lends.
+func (o *Owner) Version() uint64 { return o.version }
+
 // Counts returns what the owner has done since its start.
 func (o *Owner) Counts() Counts { return o.counts }
 
@@ -136,11 +140,24 @@
 			}
 			o.customers[name] = c
 		}
+		if limit.Depth < c.cap.Depth {
+			o.voidLoans(name)
+		}
 		c.cap, c.capped = limit, true
 		c.fill(o, now)
 	}
 }
 
+// voidLoans makes holders drop the tokens of a customer that they have been lent, but not received
+// yet. Those that they have received shrink when they have the lower cap.
+func (o *Owner) voidLoans(customer string) {
+	for _, r := range o.holders {
+		if acc := r.accounts[customer]; acc != nil {
+			acc.void = acc.lent
+		}
+	}
+}
+
 // fill lets the bucket gain what it has gained since the last call.
 func (c *customer) fill(o *Owner, now time.Time) {
 	if c.filledAt.Before(o.unknownUntil) && !now.Before(o.unknownUntil) {
@@ -316,7 +333,7 @@
 	}
 	room := min(c.level-(1-part)*c.cap.Depth, o.lendable(c, part), o.lendable(c, lentPart)-waitRoom)
 	o.grant(c, acc, portion(room, deficit, c.deficit))
-	out := GrantItem{Customer: in.Customer, Lent: acc.lent, Depth: int64(math.Ceil(c.cap.Depth)), Admit: -1}
+	out := GrantItem{Customer: in.Customer, Lent: acc.lent, Void: acc.void, Depth: int64(math.Ceil(c.cap.Depth)), Admit: -1}
 	for k := range classes {
 		if total >= c.cap.reserved(k) {
 			out.Admit = k
--- a/errs/errs.go
+++ b/errs/errs.go
@@ -54,6 +54,7 @@
 	ReasonAuthentication  Reason = "authentication"   // the caller failed to authenticate
 	ReasonIdleTransaction Reason = "idle_transaction" // a transaction was idle for too long
 	ReasonSettings        Reason = "settings"         // the settings of the session could not be applied
+	ReasonCap             Reason = "cap"              // the customer sends more operations than it may
 )
 
 // SQLSTATE codes that the proxy sends.
@@ -153,7 +154,7 @@
 		return SQLStateOutcomeUnknown
 	}
 	switch reason {
-	case ReasonDeadline, ReasonQueueFull, ReasonTooManyCallers:
+	case ReasonDeadline, ReasonQueueFull, ReasonTooManyCallers, ReasonCap:
 		return SQLStateTooManyConnections
 	case ReasonBadToken, ReasonBadSetting, ReasonKeyReuse:
 		return SQLStateInvalidParameter
--- a/host/control.go
+++ b/host/control.go
@@ -50,6 +50,7 @@
 	clients     *controlClients
 	leases      *leaseHolder // of the prober; nil if a promotion stops the former primary
 	giver       *leaseGiver  // nil likewise
+	caps        *capsOwner   // nil if customers have no caps
 	http        *http.Server
 
 	mu               sync.Mutex
@@ -98,6 +99,9 @@
 		c.leases, c.giver = newLeaseHolder(p.Now, p.Log, p.Stats), newLeaseGiver(c.ledger, p.Now, p.Log)
 		c.clients.leases, c.clients.relied, c.clients.onLeases = c.leases, func() []string { return nil }, c.retryProofs
 	}
+	if s.CapBound.Window > 0 {
+		c.caps = newCapsOwner(s.CapBound, p.Now, p.Log, p.Stats)
+	}
 	c.clients.start(c.ctx, s.Seeds)
 	c.http = &http.Server{Handler: p.Handler(c), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
 	go c.serve(func() error { return ctrl.Serve(c.ctx, peerListener, mux, panicReport(p.Log, p.Stats)) })
--- a/host/control_client.go
+++ b/host/control_client.go
@@ -334,6 +334,29 @@
 	return reply.Lease != nil && c.leases != nil && c.leases.apply(cc.addr, reply.Lease, askedAt)
 }
 
+// controlTargets returns the addresses of the control instances, that of the leader first, as the
+// home named it last.
+func (c *controlClients) controlTargets() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	add := func(addr string) {
+		if addr != "" && !slices.Contains(out, addr) {
+			out = append(out, addr)
+		}
+	}
+	add(c.leader)
+	for _, m := range c.members {
+		add(m.Addr)
+	}
+	if len(c.members) == 0 {
+		for _, addr := range c.seeds {
+			add(addr)
+		}
+	}
+	return out
+}
+
 // nearest returns the address of a control instance that answers, or "". It prefers the home.
 func (c *controlClients) nearest() string {
 	c.mu.Lock()
--- a/host/duty.go
+++ b/host/duty.go
@@ -100,6 +100,9 @@
 				c.giver.follow(c.node.Status())
 				c.renewOwnLeases()
 			}
+			if c.caps != nil {
+				c.caps.follow(c.node.Status())
+			}
 			s.updateViews(ctx, c.gatherHealth(c.deps.Now()))
 		}
 	}
--- a/host/entry.go
+++ b/host/entry.go
@@ -42,6 +42,7 @@
 	server         *proxy.Server
 	control        *controlClients
 	leases         *leaseHolder // nil if a promotion stops the former primary
+	caps           *capsClient  // nil if customers have no caps
 	config         *configFetcher
 	instanceCount  instanceCount
 	proofs         *proofClient
@@ -98,6 +99,10 @@
 		e.leases = newLeaseHolder(p.Now, p.Log, p.Stats)
 		opts = append(opts, proxy.WithLeases(e.leases))
 	}
+	if s.CapBound.Window > 0 {
+		e.caps = newCapsClient(s.Name, s.CapBound, e.control.controlTargets, p.Dial, p.Now, p.Log, p.Stats)
+		opts = append(opts, proxy.WithCaps(e.caps))
+	}
 	e.server = proxy.New(p.Dialer, e.roster, append(opts, proxy.WithProver(e.proofs), proxy.WithPeerClient(e.peerClient))...)
 	e.control.leases, e.control.relied, e.control.onLeases = e.leases, e.server.DirectServices, e.server.RetryProofs
 	e.config = newConfigFetcher(e)
@@ -108,6 +113,9 @@
 	go e.serve(func() error { return serveHTTP(e.readyServer, readyListener) })
 	go e.serve(func() error { return ctrl.Serve(e.ctx, peerListener, mux, panicReport(p.Log, p.Stats)) })
 	go func() { e.config.done <- e.config.run(e.ctx) }()
+	if e.caps != nil {
+		go func() { e.caps.done <- e.caps.run(e.ctx) }()
+	}
 	return e, nil
 }
 
@@ -278,6 +286,9 @@
 	_ = e.readyServer.Close()
 	e.control.close()
 	<-e.config.done
+	if e.caps != nil {
+		<-e.caps.done
+	}
 	e.server.Close()
 	for range servers {
 		<-e.served // the results went to Ended as well
--- a/host/host.go
+++ b/host/host.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"tamarackcross/caps"
 	"tamarackcross/config"
 	"tamarackcross/duty"
 	"tamarackcross/roster"
@@ -31,6 +32,7 @@
 	MemoryMB     int           // memory limit in MB; 0 for none
 	MaxFiles     int           // limit of open file descriptors; 0 for none
 	Succession   duty.Succession
+	CapBound     caps.Bound // by how much customers may exceed their caps; without a window they have none
 }
 
 // Control is the part of the control role that backend servers and operators call.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -24,6 +24,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 
+	"tamarackcross/caps"
 	"tamarackcross/group"
 	"tamarackcross/lease"
 	"tamarackcross/roster"
@@ -222,6 +223,7 @@
 	Prove(ctx context.Context, in *ProveRequest) (*ProveReply, error)
 	Fetch(ctx context.Context, in *FetchRequest) (*FetchReply, error)
 	HandOver(ctx context.Context, in *HandOverRequest) (*HandOverReply, error)
+	Caps(ctx context.Context, in *caps.Ask) (*CapsReply, error)
 }
 
 // Names of the drpc methods.
@@ -344,7 +346,7 @@
 type description struct{ encoding encoding }
 
 // NumMethods returns the number of methods.
-func (description) NumMethods() int { return 6 }
+func (description) NumMethods() int { return 7 }
 
 // Method describes the method with number n.
 func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -361,6 +363,8 @@
 		return callFetch, binaryEncoding{d.encoding}, receiver(Handler.Fetch), Handler.Fetch, true
 	case 5:
 		return callHandOver, d.encoding, receiver(Handler.HandOver), Handler.HandOver, true
+	case 6:
+		return callCaps, binaryEncoding{d.encoding}, receiver(Handler.Caps), Handler.Caps, true
 	default:
 		return "", nil, nil, nil, false
 	}
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -39,6 +39,7 @@
 	LastCommit        group.Position    // position of the last commit of the session
 	LastCommitAge     time.Duration     // time since that commit was acknowledged
 	Elapsed           time.Duration     // time since the request arrived at the instance of its caller
+	TokenAge          time.Duration     // of the token of a new unit of work; negative if there is none
 	Request           Request
 }
 
@@ -75,6 +76,7 @@
 			s.abort()
 		}
 		s.failed = false
+		s.token = tokenOfAge(d.TokenAge, s.srv.now())
 	}
 	doc := s.srv.doc.Load()
 	if doc == nil {
@@ -121,7 +123,7 @@
 	now, lastCommit := w.now(), w.session.lastCommits[w.route.Service]
 	d := Forwarded{
 		Database: w.session.database, Customer: w.session.customer, Weight: w.session.flowWeight(), CustomerPriority: w.session.customerPriority, Caller: w.session.identity.caller, Route: w.route, Values: w.session.values,
-		LastCommit: lastCommit.position, Elapsed: now.Sub(w.arrived), Request: w.req,
+		LastCommit: lastCommit.position, Elapsed: now.Sub(w.arrived), TokenAge: w.session.token.age(now), Request: w.req,
 	}
 	if !lastCommit.position.IsZero() {
 		d.LastCommitAge = now.Sub(lastCommit.at)
@@ -141,6 +143,10 @@
 		if h == nil {
 			return Answer{}, false
 		}
+		if err := w.requireToken(ctx); err != nil {
+			h.put()
+			return w.session.refuse(w.reject(errs.ReasonCap)), true
+		}
 		d := w.forwardedRequest()
 		d.NewUnit = true
 		a, err := w.exchangeWithHolder(h, d, !w.writes)
@@ -148,6 +154,7 @@
 			h.put()
 			return w.forwardedAnswer(h, a), true
 		}
+		w.session.token.spent = !errors.Is(err, ErrNotProcessed)
 		h.discard()
 		if w.writes && !errors.Is(err, ErrNotProcessed) {
 			return w.session.refuse(w.inDoubtAtHolder(h, err)), true
@@ -237,6 +244,10 @@
 		if h == nil {
 			return Answer{}, false
 		}
+		if err := w.requireToken(ctx); err != nil {
+			h.put()
+			return w.session.fail(w.reject(errs.ReasonCap)), true
+		}
 		d := w.forwardedRequest()
 		d.NewUnit, d.Begin = true, &Begin{ReadOnly: tx.readOnly}
 		a, err := w.exchangeWithHolder(h, d, true)
@@ -244,6 +255,7 @@
 			tx.holderLink = h
 			return w.forwardedTxAnswer(a, nil, commit), true
 		}
+		w.session.token.spent = !errors.Is(err, ErrNotProcessed)
 		h.discard() // the holder rolls back what may have run
 		w.recordHolderRetry(h, err)
 		tried = append(tried, h.peer.Name)
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -334,8 +334,16 @@
 			return nil, err
 		}
 	}
+	if w.session.tx == nil {
+		if err := w.requireToken(ctx); err != nil {
+			return nil, err
+		}
+	}
 	sent := m.now()
 	out, err := c.exec(limit, cmds...)
+	if w.session.tx == nil {
+		w.spendToken(out, err)
+	}
 	if w.replicationWait {
 		return out, err
 	}
--- a/proxy/operation.go
+++ b/proxy/operation.go
@@ -39,10 +39,11 @@
 	route           config.Route
 	svc             *service
 	attempts        int
-	notAdmitted     bool   // the admission queue of this instance rejected the last attempt
-	replicationWait bool   // the member may delay the current attempt until it has applied the read bound
-	needsLease      bool   // the current attempt relies on the member as the primary
-	epoch           uint64 // of the lease under which the current attempt was sent
+	retryAfter      time.Duration // that a refusal beyond the cap of the customer tells, else 0
+	notAdmitted     bool          // the admission queue of this instance rejected the last attempt
+	replicationWait bool          // the member may delay the current attempt until it has applied the read bound
+	needsLease      bool          // the current attempt relies on the member as the primary
+	epoch           uint64        // of the lease under which the current attempt was sent
 }
 
 func (w *operation) now() time.Time { return w.session.srv.now() }
@@ -261,7 +262,7 @@
 		if reason == "" {
 			return a
 		}
-		if reason == errs.ReasonCancelled || w.notAdmitted && (w.route.Freshness == config.Latest || slices.Contains(exclude, p.member.target.ID)) {
+		if reason == errs.ReasonCancelled || reason == errs.ReasonCap || w.notAdmitted && (w.route.Freshness == config.Latest || slices.Contains(exclude, p.member.target.ID)) {
 			return w.session.refuse(w.reject(reason))
 		}
 		w.recordRetry(reason, p.member)
--- a/proxy/request_log.go
+++ b/proxy/request_log.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -85,7 +86,7 @@
 	w.session.srv.stats.Refused(reason)
 	w.logEvent(zerolog.InfoLevel).Str(event.Reason, string(reason)).Str(event.Primary, w.svc.primaryID()).
 		Str(event.Freshness, freshnessNames[w.route.Freshness]).Str(event.Code, Busy.String()).Str(event.Outcome, event.OutcomeNotRun).Msg("settled")
-	return fault(Busy, fmt.Sprintf("not run: %s, come back in %d ms", reason, retryAfter.Milliseconds()))
+	return fault(Busy, fmt.Sprintf("not run: %s, come back in %d ms", reason, cmp.Or(w.retryAfter, retryAfter).Milliseconds()))
 }
 
 // inDoubt returns the fault of a request that may have run.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -39,6 +39,7 @@
 	dialer      Dialer
 	prover      Prover     // nil if the instance always probes itself
 	leases      Leases     // nil if a promotion stops the former primary
+	caps        Caps       // nil if customers have no caps
 	peerClient  PeerClient // nil if the instance forwards nothing
 	peers       *peerSet
 	roster      *roster.Table
@@ -122,6 +123,9 @@
 		if old != nil && old.Version >= doc.Version {
 			return
 		}
+		if s.caps != nil {
+			s.caps.Configure(doc)
+		}
 		if s.doc.CompareAndSwap(old, doc) {
 			break
 		}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -30,6 +30,7 @@
 	weight           float64 // of the customer in queues
 	customerPriority int
 	identifiedBy     *config.Document // by which customer was found
+	token            unitToken        // of the current statement or transaction
 
 	values      map[string]string
 	prepared    map[string]PreparedStatement
@@ -61,6 +62,9 @@
 	epoch         uint64 // of the lease under which it was opened for writes
 }
 
+// unopened reports whether no statement of the transaction has reached a member or a holder.
+func (t *transaction) unopened() bool { return t.conn == nil && t.holderLink == nil }
+
 func newSession(s *Server, c Caller, database string, id identity) *session {
 	return &session{
 		srv: s, caller: c, database: database, identity: id,
@@ -316,6 +320,9 @@
 		return s.refuse(f)
 	}
 	w.route, w.svc = r, s.srv.service(r.Service)
+	if f := w.takeUnitToken(ctx); f != nil {
+		return s.refuse(f)
+	}
 	if s.forwards(w.svc) {
 		if !writes {
 			if a, ok := w.readLocally(ctx); ok {
@@ -376,6 +383,14 @@
 		return s.refuse(f)
 	}
 	w := operation{session: s, req: req, arrived: s.arrived(), route: s.tx.route, svc: s.tx.svc}
+	if s.tx.unopened() {
+		if f := w.takeUnitToken(ctx); f != nil {
+			a := s.fail(f)
+			s.failed = false
+			a.Status = Idle
+			return a
+		}
+	}
 	if s.tx.holderLink != nil || s.tx.conn == nil && s.forwards(w.svc) {
 		if a, ok := w.forwardTx(ctx, true); ok {
 			return a
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -19,6 +19,11 @@
 	if w.writes && tx.readOnly {
 		return w.session.fail(fault(ReadOnly, "the transaction only reads"))
 	}
+	if tx.unopened() {
+		if f := w.takeUnitToken(ctx); f != nil {
+			return w.session.fail(f)
+		}
+	}
 	if tx.holderLink != nil || tx.conn == nil && w.session.forwards(w.svc) {
 		if a, ok := w.forwardTx(ctx, false); ok {
 			return a
@@ -92,6 +97,9 @@
 		if reason == "" {
 			return nil
 		}
+		if reason == errs.ReasonCap {
+			return w.reject(reason)
+		}
 		primaryOnly := !w.session.tx.readOnly || w.route.Freshness == config.Latest
 		if reason == errs.ReasonCancelled || w.notAdmitted && (primaryOnly || slices.Contains(exclude, p.member.target.ID)) {
 			return w.reject(reason)
@@ -141,7 +149,12 @@
 		}
 		tx.epoch = w.epoch
 	}
+	if err := w.requireToken(ctx); err != nil {
+		w.put(c, true)
+		return errs.ReasonCap
+	}
 	answers, err := c.exec(min(dialTimeout, w.deadline().Sub(w.now())), BeginTx{ReadOnly: tx.readOnly, After: p.bound.position})
+	w.spendToken(answers, err)
 	if err != nil {
 		w.put(c, false)
 		w.svc.recordOutcome(p.member, false)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,6 +91,7 @@
 	LastCommitOffset uint64
 	LastCommitAge    time.Duration
 	Elapsed          time.Duration
+	TokenAge         time.Duration
 }
 
 // reply is the answer to a forwardedRequest. Closed means that the holder has not
@@ -172,7 +173,7 @@
 		Service: d.Route.Service, Freshness: d.Route.Freshness, MaxAge: d.Route.MaxAge, Timeout: d.Route.Timeout,
 		LatencyGoal: d.Route.LatencyGoal, Priority: d.Route.Priority, Values: d.Values,
 		LastCommitTerm: d.LastCommit.Term, LastCommitOffset: d.LastCommit.Offset, LastCommitAge: d.LastCommitAge,
-		Elapsed: d.Elapsed,
+		Elapsed: d.Elapsed, TokenAge: d.TokenAge,
 	}
 	if e, ok := d.Request.Statement.(proxy.Execute); ok {
 		h.PreparedName, h.Args = e.Name, e.Args
@@ -201,7 +202,7 @@
 		PreparedName:      h.PreparedName,
 		PreparedStatement: proxy.PreparedStatement{Writes: h.PreparedWrites, Text: h.PreparedText},
 		LastCommit:        group.Position{Term: h.LastCommitTerm, Offset: h.LastCommitOffset},
-		LastCommitAge:     h.LastCommitAge, Elapsed: h.Elapsed,
+		LastCommitAge:     h.LastCommitAge, Elapsed: h.Elapsed, TokenAge: h.TokenAge,
 	}
 	if h.Begin != beginNone {
 		d.Begin = &proxy.Begin{ReadOnly: h.Begin == beginReadOnly}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -66,7 +66,7 @@
 		LatencyGoal: 300 * time.Millisecond, Priority: 2,
 	},
 	Values: map[string]string{"a": "\xff b"}, PreparedName: "p", PreparedStatement: proxy.PreparedStatement{Writes: true, Text: "x"},
-	LastCommit: group.Position{Term: 3, Offset: 1 << 40}, LastCommitAge: time.Minute, Elapsed: time.Millisecond,
+	LastCommit: group.Position{Term: 3, Offset: 1 << 40}, LastCommitAge: time.Minute, Elapsed: time.Millisecond, TokenAge: 3 * time.Millisecond,
 	Request: proxy.Request{ID: "1", Text: "text \xfe", Statement: proxy.Execute{Name: "p", Args: "7 8"}},
 }
 
