host: the owner of the caps fills its buckets before the first call

Cause: the owner learned of the customers with the first call of an instance, so their buckets began to fill only then.

--- a/host/caps_owner.go
+++ b/host/caps_owner.go
@@ -35,11 +35,20 @@
 	return o
 }
 
-// follow starts or ends the lending as the role of this instance in control changes.
-func (o *capsOwner) follow(st raft.Status) {
+// follow starts or ends the lending as the role of this instance in control changes, and puts the
+// caps of the configuration in force. doc may be nil.
+func (o *capsOwner) follow(st raft.Status, doc *config.Document) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.now()
+	o.followTerm(st, now)
+	if o.owner != nil && doc != nil && doc.Version > o.owner.Version() {
+		o.owner.SetCaps(doc.Version, capsOf(o.bound, doc), now)
+	}
+}
+
+// followTerm starts or ends the lending. The caller holds o.mu.
+func (o *capsOwner) followTerm(st raft.Status, now time.Time) {
 	if _, known := o.seen[st.Term]; !known {
 		o.seen[st.Term], o.newest = now, max(o.newest, st.Term)
 		for t := range o.seen {
@@ -83,17 +92,13 @@
 
 // handle answers an Ask, or returns false if this instance is not the owner.
 func (o *capsOwner) handle(in *caps.Ask, doc *config.Document, st raft.Status) (caps.Grant, bool) {
-	o.follow(st)
+	o.follow(st, doc)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.owner == nil || doc == nil {
 		return caps.Grant{}, false
 	}
-	now := o.now()
-	if doc.Version > o.owner.Version() {
-		o.owner.SetCaps(doc.Version, capsOf(o.bound, doc), now)
-	}
-	return o.owner.Handle(in, st.ConfirmedAt, now), true
+	return o.owner.Handle(in, st.ConfirmedAt, o.now()), true
 }
 
 // setGauges sets the gauges of the owner. Those of what it has done count from its start.
