caps: a new version with the same caps takes no tokens; what is covered shrinks with a lower cap

Cause: depths cross the network rounded up, and a holder took the rounded one for a higher cap that was lowered. By reading also: a holder that shrank its tokens told the next owner that it covered as many as before; no schedule showed it. Change: only a depth above the rounded own one counts; the part that was told as gone grows with what is dropped.

--- a/caps/export_test.go
+++ b/caps/export_test.go
@@ -6,7 +6,11 @@
 func (o *Owner) SkipWait(now time.Time) { o.fillsFrom, o.unknownUntil, o.unknownPart = now, now, 0 }
 
 // SkipUnknown makes the owner forget the loans of former owners.
-func (o *Owner) SkipUnknown() { o.unknownPart = 0 }
+func (o *Owner) SkipUnknown() {
+	for _, c := range o.customers {
+		c.unknown = 0
+	}
+}
 
 // Prolong makes the holder spend tokens after the end of their loans.
 func (h *Holder) Prolong() {
--- a/caps/holder.go
+++ b/caps/holder.go
@@ -33,7 +33,7 @@
 	capped   bool
 	cap      Cap
 	tokens   int64
-	depth    float64 // largest depth of the bucket from which tokens were lent
+	depth    float64 // of the bucket from which tokens were lent, where it was deeper than by cap, else 0
 	claim    int64   // of tokens when the holder began to count for the owner
 	received int64   // since then, the claim included
 	gone     int64   // spent or dropped since then
@@ -124,11 +124,10 @@
 		limit, ok := caps[name]
 		if !ok {
 			s.drop(s.tokens)
-		} else if s.capped && limit.Depth < max(s.cap.Depth, s.depth) {
-			s.drop(s.tokens - int64(float64(s.tokens)*limit.Depth/max(s.cap.Depth, s.depth)))
-			s.depth = limit.Depth
+		} else if depth := max(s.cap.Depth, s.depth); s.capped && limit.Depth < depth {
+			s.shrink(limit.Depth / depth)
 		}
-		s.capped, s.cap = ok, limit
+		s.capped, s.cap, s.depth = ok, limit, 0
 	}
 	for name, limit := range caps {
 		if h.stocks[name] == nil {
@@ -143,6 +142,16 @@
 	s.gone += n
 }
 
+// shrink drops all but a part of the tokens. What they cover for a next owner shrinks as well.
+func (s *stock) shrink(part float64) {
+	s.drop(s.tokens - int64(float64(s.tokens)*part))
+	counted := s.counted()
+	s.told.gone += counted - int64(float64(counted)*part)
+}
+
+// counted returns how many tokens the owner counts the holder to have, at least.
+func (s *stock) counted() int64 { return s.received - s.told.gone - s.told.returned }
+
 // Take takes a token for a request of a customer with the priority of its route, of which 0 is the
 // highest.
 func (h *Holder) Take(customer string, priority int, now time.Time) Verdict {
@@ -379,7 +388,7 @@
 		kept := min(n, in.Lent-in.Void)
 		if depth := float64(in.Depth); !s.capped || g.Version < h.version && depth > s.cap.Depth {
 			kept = 0 // the owner does not know the lower cap yet
-		} else {
+		} else if depth > math.Ceil(s.cap.Depth) {
 			s.depth = max(s.depth, depth)
 		}
 		s.received = in.Lent
@@ -424,7 +433,7 @@
 func (h *Holder) recount(term uint64) {
 	h.term = term
 	for _, s := range h.stocks {
-		s.restart(s.received - s.told.gone - s.told.returned)
+		s.restart(s.counted())
 	}
 }
 
--- a/caps/model_test.go
+++ b/caps/model_test.go
@@ -204,13 +204,13 @@
 	}
 	w.leader, w.elections = n, append(w.elections, w.now)
 	c.owner, c.round, c.confirmed = caps.NewOwner(w.term, now, opts...), 0, time.Time{}
-	switch w.weak {
-	case noWait:
+	if w.weak == noWait {
 		c.owner.SkipWait(now)
-	case noUnknown:
-		c.owner.SkipUnknown()
 	}
 	w.updateControl(c)
+	if w.weak == noUnknown {
+		c.owner.SkipUnknown()
+	}
 }
 
 // formerChanges returns what a control instance knows of the terms before. It may have learned of each
