--- a/caps/caps.go
+++ b/caps/caps.go
@@ -119,10 +119,10 @@
 	wholeRate = 1_000_000
 	// flowPart is the part of the rate that may be lent as flows. The owner keeps the rest for
 	// requests anywhere.
-	flowPart = wholeRate / 2
-	// flowRate is the least rate, in operations per second, of a bucket that lends flows. Tokens of
-	// smaller ones last longer than loans.
-	flowRate = 50
+	flowPart = wholeRate * 4 / 10
+	// flowRate is the least rate, in operations per second, of a bucket that lends flows. An owner
+	// reserves the whole flowPart of these while it does not know the flows of the former one.
+	flowRate = 150
 	// flowDepth is the number of tokens that a flow fills. They count as lent while it lasts.
 	flowDepth = 2
 	// waitRoom is how many tokens stocks leave for requests that wait, in small buckets.
