caps: a higher rate with a lower depth waits until no tokens exist by the former depth

Change: the bucket gains less than the new rate until the loans by the former depth have ended, never less than the lower of the two rates.

--- a/caps/caps.go
+++ b/caps/caps.go
@@ -76,6 +76,7 @@
 type Cap struct {
 	Rate  float64 // tokens per second
 	Depth float64 // most tokens that exist at a time
+	span  float64 // seconds by whose gain the depth is below the bound
 }
 
 // minDepthFraction is the least part of the operations of a window that the depth of a bucket
@@ -88,7 +89,7 @@
 	span := (b.Window + sendMargin).Seconds() * (1 + clockError)
 	most := b.Most(rate, burst)
 	least := min(most, max(1, most*minDepthFraction))
-	return Cap{Rate: min(rate, (most-least)/span), Depth: max(least, most-rate*span)}
+	return Cap{Rate: min(rate, (most-least)/span), Depth: max(least, most-rate*span), span: span}
 }
 
 // classes is the number of priority classes. Requests of the lowest one are the first to be
--- a/caps/holder.go
+++ b/caps/holder.go
@@ -24,8 +24,8 @@
 	urgent   bool              // a request waits for the next Ask
 	low      bool              // a stock is low
 	changed  bool              // the owner does not know all that was spent
-	holds    bool // it has had tokens since the last Ask, or still has
-	flows    bool // likewise, flows
+	holds    bool              // it has had tokens since the last Ask, or still has
+	flows    bool              // likewise, flows
 	refusals uint64
 }
 
--- a/caps/owner.go
+++ b/caps/owner.go
@@ -35,6 +35,7 @@
 // customer is the bucket of a customer.
 type customer struct {
 	cap         Cap
+	held        heldCap
 	capped      bool
 	level       float64 // tokens that are not lent
 	lent        int64   // tokens that holders may have, as far as they are known
@@ -46,6 +47,13 @@
 	deficit     int64        // likewise
 }
 
+// heldCap is what is left of caps before the present one, as long as tokens may exist by them.
+type heldCap struct {
+	depth float64 // the largest
+	rate  float64 // the least
+	until time.Time
+}
+
 // account is what a holder has of a customer.
 type account struct {
 	lent     int64 // the claim included
@@ -146,11 +154,32 @@
 		if limit.Depth < c.cap.Depth {
 			o.voidLoans(name)
 		}
+		c.hold(limit, now)
 		c.cap, c.capped = limit, true
 		c.fill(o, now)
 	}
 }
 
+// hold keeps the present cap in mind if another one lowers the depth.
+func (c *customer) hold(next Cap, now time.Time) {
+	if !now.Before(c.held.until) {
+		c.held = heldCap{rate: c.cap.Rate}
+	}
+	c.held.depth, c.held.rate = max(c.held.depth, c.cap.Depth), min(c.held.rate, c.cap.Rate)
+	if next.Depth < c.held.depth {
+		c.held.until = now.Add(LoanLife + loanMargin + time.Duration(next.span*float64(time.Second)))
+	}
+}
+
+// rate returns the rate by which tokens are gained now. If a new cap has a higher rate and a lower
+// depth, it is less than the new rate until no tokens exist by the former depth.
+func (c *customer) rate(now time.Time) float64 {
+	if !now.Before(c.held.until) || c.held.depth <= c.cap.Depth {
+		return c.cap.Rate
+	}
+	return max(min(c.held.rate, c.cap.Rate), c.cap.Rate-(c.held.depth-c.cap.Depth)/c.cap.span)
+}
+
 // voidLoans makes holders drop the tokens of a customer that they have been lent, but not received
 // yet. Those that they have received shrink when they have the lower cap.
 func (o *Owner) voidLoans(customer string) {
@@ -177,7 +206,7 @@
 	}
 	if now.After(from) {
 		own := max(0, wholeRate-c.flow-c.unknownFlow)
-		c.level += float64(own) / wholeRate * c.cap.Rate * now.Sub(from).Seconds()
+		c.level += float64(own) / wholeRate * c.rate(from) * now.Sub(from).Seconds()
 	}
 	if now.After(c.filledAt) {
 		c.filledAt = now
