--- a/proxy/caps.go
+++ b/proxy/caps.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"tamarackcross/caps"
@@ -84,7 +85,8 @@
 // too old. It does not wait.
 func (w *operation) requireToken(ctx context.Context) error {
 	s := w.session
-	if !s.capped() || !s.token.spent && w.now().Sub(s.token.takenAt) <= caps.SendWithin {
+	fresh := !s.token.spent && w.now().Sub(s.token.takenAt) <= caps.SendWithin && !(s.forwardedRoute != nil && s.srv.freezes.recent(w.now()))
+	if !s.capped() || fresh {
 		return nil
 	}
 	if err := w.takeToken(ctx, w.now()); err != nil {
@@ -105,3 +107,42 @@
 		s.token.spent = last == nil || !last.Code.notRun()
 	}
 }
+
+const (
+	// freezeTick is the time between the ticks by which an instance notices that it stood still, and
+	// freezeGap the least time between two of them that counts as such.
+	freezeTick = 100 * time.Millisecond
+	freezeGap  = 300 * time.Millisecond
+	// afterFreeze is how long after that forwarded requests may have waited unread meanwhile.
+	afterFreeze = time.Second
+)
+
+// freezeWatch notices that the instance stood still. The age of tokens of requests that were
+// forwarded to it meanwhile is not known.
+type freezeWatch struct {
+	tickedAt atomic.Int64 // in ns of the clock of the server; 0 before the first tick
+	endedAt  atomic.Int64 // end of the last freeze, or 0
+}
+
+// run ticks until ctx ends.
+func (f *freezeWatch) run(ctx context.Context, now func() time.Time) {
+	t := time.NewTicker(freezeTick)
+	defer t.Stop()
+	for {
+		at := now().UnixNano()
+		if last := f.tickedAt.Swap(at); last != 0 && at-last > int64(freezeGap) {
+			f.endedAt.Store(at)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// recent reports whether the instance may have stood still a moment ago.
+func (f *freezeWatch) recent(now time.Time) bool {
+	last, ended := f.tickedAt.Load(), f.endedAt.Load()
+	return last != 0 && now.UnixNano()-last > int64(freezeGap) || ended != 0 && now.UnixNano()-ended < int64(afterFreeze)
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -37,9 +37,10 @@
 	zone        string
 	zones       int // number of zones that share the backend servers
 	dialer      Dialer
-	prover      Prover     // nil if the instance always probes itself
-	leases      Leases     // nil if a promotion stops the former primary
-	caps        Caps       // nil if customers have no caps
+	prover      Prover // nil if the instance always probes itself
+	leases      Leases // nil if a promotion stops the former primary
+	caps        Caps   // nil if customers have no caps
+	freezes     freezeWatch
 	peerClient  PeerClient // nil if the instance forwards nothing
 	peers       *peerSet
 	roster      *roster.Table
@@ -113,6 +114,9 @@
 	s.instances.Store(1)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.wg.Go(func() { s.followRoster(s.ctx) })
+	if s.caps != nil {
+		s.wg.Go(func() { s.freezes.run(s.ctx, s.now) })
+	}
 	return s
 }
 
