caps, ledger: the log tells a new owner how many there were before it

Cause: a new owner leaves no room beside the loans of former ones unless its instance has seen the terms before it, and nobody had after the restart. Change: an owner records itself in the log of control before it lends, and once the loans of former ones have ended. From the log the next one knows how much they can have lent; the first of all starts with full buckets. Deployments without caps append nothing.

--- a/caps/caps.go
+++ b/caps/caps.go
@@ -46,9 +46,6 @@
 	confirmMargin = confirmLife * 3 / 100
 	// unknownLife is how long an owner reserves room for the loans of former owners.
 	unknownLife = confirmLife + confirmMargin + LoanLife + loanMargin
-	// SettledTerm is how long a term must have been known so that no loan of a term before it
-	// can be in force. It includes the delay between the first vote for an owner and the last one.
-	SettledTerm = unknownLife + 2500*time.Millisecond
 	// SendWithin is how long after a token was taken its operation may be sent.
 	SendWithin = 300 * time.Millisecond
 	// sendMargin is SendWithin and the time for which an operation may be under way between
--- a/caps/load_test.go
+++ b/caps/load_test.go
@@ -53,8 +53,7 @@
 	limits    map[string]limit
 	owner     *caps.Owner // nil while there is none
 	term      uint64
-	changes   int
-	electedAt time.Time
+	unsettled int
 	entries   []*loadEntry
 	loads     []*load
 	tallies   map[string]*tally
@@ -89,19 +88,20 @@
 
 func (f *fleet) elect() {
 	f.term++
-	if f.changes++; f.now.Sub(f.electedAt) >= caps.SettledTerm {
-		f.changes = 0
-	}
-	var opts []caps.OwnerOption
+	opts := []caps.OwnerOption{caps.WithoutFormerOwner()}
 	if f.term > 1 {
-		opts = append(opts, caps.WithFormerChanges(f.changes))
+		opts = []caps.OwnerOption{caps.WithFormerOwners(f.unsettled)}
+		f.unsettled++
 	}
-	f.owner, f.electedAt = caps.NewOwner(f.term, f.now, opts...), f.now
+	f.owner = caps.NewOwner(f.term, f.now, opts...)
 	f.setCaps()
 }
 
 // run lets d pass under the load.
 func (f *fleet) run(d time.Duration) {
+	if f.owner != nil && f.owner.Settled(f.now) {
+		f.unsettled = 0
+	}
 	f.tallies, f.asks = make(map[string]*tally), 0
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(tick)
--- a/caps/model_test.go
+++ b/caps/model_test.go
@@ -84,7 +84,7 @@
 	controls  []*control
 	leader    int
 	term      uint64
-	elections []time.Duration
+	unsettled int // owners after the last one that settled, in the log
 	holders   []*holder
 	runs      uint64
 	messages  []message
@@ -198,11 +198,13 @@
 	}
 	c, now := w.controls[n], w.local(w.controls[n].rate)
 	w.term++
-	var opts []caps.OwnerOption
-	if changes, known := w.formerChanges(c); known && w.rnd.IntN(4) > 0 {
-		opts = append(opts, caps.WithFormerChanges(changes))
+	opts := []caps.OwnerOption{caps.WithFormerOwners(w.unsettled)}
+	if w.leader < 0 {
+		opts = []caps.OwnerOption{caps.WithoutFormerOwner()}
+	} else {
+		w.unsettled++
 	}
-	w.leader, w.elections = n, append(w.elections, w.now)
+	w.leader = n
 	c.owner, c.round, c.confirmed = caps.NewOwner(w.term, now, opts...), 0, time.Time{}
 	if w.weak == noWait {
 		c.owner.SkipWait(now)
@@ -213,19 +215,6 @@
 	}
 }
 
-// formerChanges returns what a control instance knows of the terms before. It may have learned of each
-// some time before its leader was elected.
-func (w *world) formerChanges(c *control) (n int, known bool) {
-	for i := len(w.elections) - 1; i >= 0; i-- {
-		age := w.now - w.elections[i] + time.Duration(w.rnd.IntN(2000))*time.Millisecond
-		if time.Duration(c.rate*float64(age)) >= caps.SettledTerm {
-			return n, true
-		}
-		n++
-	}
-	return 0, false
-}
-
 // confirm advances the round by which a majority confirms a leader.
 func (w *world) confirm(n int) {
 	c := w.controls[n]
@@ -235,6 +224,9 @@
 	}
 	if n == w.leader {
 		c.confirmed = time.Unix(1000, 0).Add(time.Duration(c.rate * float64(c.round)))
+		if c.owner != nil && c.owner.Settled(w.local(c.rate)) && w.rnd.IntN(3) == 0 {
+			w.unsettled = 0
+		}
 	}
 	c.round = 0
 }
--- a/caps/owner.go
+++ b/caps/owner.go
@@ -9,6 +9,7 @@
 // Owner of its own.
 type Owner struct {
 	term         uint64
+	first        bool      // there was no owner before
 	fillsFrom    time.Time // the former owner lends nothing any more
 	unknownUntil time.Time // loans of former owners have ended
 	unknownPart  float64   // of a depth that may be lent by former owners
@@ -47,6 +48,8 @@
 	deficit     int64        // likewise
 }
 
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
 // heldCap is what is left of caps before the present one, as long as tokens may exist by them.
 type heldCap struct {
 	depth float64 // the largest
@@ -94,13 +97,18 @@
 // OwnerOption sets a parameter of an Owner.
 type OwnerOption func(*Owner)
 
-// WithFormerChanges says how many terms there were between that of the owner and the last one
-// before it that was known for SettledTerm. The loans of all of them leave some room, which halves
-// with each of them, that the owner can use at once. Without the option there is none.
-func WithFormerChanges(n int) OwnerOption {
+// WithFormerOwners says how many owners there were after the last one before this that had Settled.
+// The loans of all of them leave some room, which halves with each of them, that the owner can use
+// at once. Without the option there is none.
+func WithFormerOwners(n int) OwnerOption {
 	return func(o *Owner) { o.unknownPart, o.openPart = partAfter(n), partAfter(n+1) }
 }
 
+// WithoutFormerOwner says that there was no owner before. The buckets begin full.
+func WithoutFormerOwner() OwnerOption {
+	return func(o *Owner) { o.first, o.fillsFrom, o.unknownUntil = true, time.Time{}, time.Time{} }
+}
+
 // partAfter returns the part of a depth that owners lend at most if n of them were not settled.
 func partAfter(n int) float64 { return 1 - (1-lentPart)/math.Exp2(float64(n)) }
 
@@ -120,6 +128,9 @@
 // Term returns the term of the owner.
 func (o *Owner) Term() uint64 { return o.term }
 
+// Settled reports whether loans of owners before this one are not in force any more.
+func (o *Owner) Settled(now time.Time) bool { return !now.Before(o.unknownUntil) }
+
 // Version returns the version of the configuration by which the owner lends.
 func (o *Owner) Version() uint64 { return o.version }
 
@@ -146,6 +157,9 @@
 		c := o.customers[name]
 		if c == nil {
 			c = &customer{filledAt: now}
+			if o.first || now.After(o.unknownUntil.Add(seconds(limit.span))) {
+				c.level = limit.Depth // nothing was sent in the last window
+			}
 			if now.Before(o.unknownUntil) {
 				c.unknown, c.unknownFlow = limit.Depth*o.unknownPart, limit.unknownFlow()
 			}
@@ -167,7 +181,7 @@
 	}
 	c.held.depth, c.held.rate = max(c.held.depth, c.cap.Depth), min(c.held.rate, c.cap.Rate)
 	if next.Depth < c.held.depth {
-		c.held.until = now.Add(LoanLife + loanMargin + time.Duration(next.span*float64(time.Second)))
+		c.held.until = now.Add(LoanLife + loanMargin + seconds(next.span))
 	}
 }
 
--- a/host/control.go
+++ b/host/control.go
@@ -100,7 +100,7 @@
 		c.clients.leases, c.clients.relied, c.clients.onLeases = c.leases, func() []string { return nil }, c.retryProofs
 	}
 	if s.CapBound.Window > 0 {
-		c.caps = newCapsOwner(s.CapBound, p.Now, p.Log, p.Stats)
+		c.caps = newCapsOwner(s.CapBound, c.propose, p.Now, p.Log, p.Stats)
 	}
 	c.clients.start(c.ctx, s.Seeds)
 	c.http = &http.Server{Handler: p.Handler(c), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
@@ -479,13 +479,18 @@
 		})
 }
 
-// putLocal appends a configuration to the log. This instance must be the leader.
-func (c *Controller) putLocal(ctx context.Context, version uint64, body []byte) error {
-	cmd, err := ledger.Encode(ledger.PutConfig{Version: version, Body: body})
+// propose appends a command to the log and returns its result. This instance must be the leader.
+func (c *Controller) propose(ctx context.Context, command ledger.Command) (any, error) {
+	data, err := ledger.Encode(command)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	result, err := c.node.ProposeData(ctx, cmd)
+	return c.node.ProposeData(ctx, data)
+}
+
+// putLocal appends a configuration to the log. This instance must be the leader.
+func (c *Controller) putLocal(ctx context.Context, version uint64, body []byte) error {
+	result, err := c.propose(ctx, ledger.PutConfig{Version: version, Body: body})
 	if err != nil {
 		return err
 	}
--- a/host/duty.go
+++ b/host/duty.go
@@ -101,7 +101,7 @@
 				c.renewOwnLeases()
 			}
 			if c.caps != nil {
-				c.caps.follow(c.node.Status(), c.document())
+				c.caps.follow(ctx, c.node.Status(), c.document(), s.wg.Go)
 			}
 			s.updateViews(ctx, c.gatherHealth(c.deps.Now()))
 		}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// Command is a change of the ledger: PutConfig, OrderPromotion or CloseOrders.
+// Command is a change of the ledger: PutConfig, OrderPromotion, CloseOrders, OpenCaps or SettleCaps.
 type Command interface{ command() }
 
 // PutConfig stores a configuration if its version is higher than the version in
@@ -39,9 +39,18 @@
 	Tokens  []uint64
 }
 
+// OpenCaps records that the leader of Term becomes the owner of the caps of customers. It lends
+// nothing before.
+type OpenCaps struct{ Term uint64 }
+
+// SettleCaps records that loans of owners before that of Term are not in force any more.
+type SettleCaps struct{ Term uint64 }
+
 func (PutConfig) command()      {}
 func (OrderPromotion) command() {}
 func (CloseOrders) command()    {}
+func (OpenCaps) command()       {}
+func (SettleCaps) command()     {}
 
 // Result is the result of applying a log entry.
 type Result interface{ result() }
@@ -60,12 +69,24 @@
 // OrdersClosed is the result of CloseOrders.
 type OrdersClosed struct{}
 
+// CapsOpened is the result of OpenCaps. First is true if there was no owner before. Otherwise Former
+// is the number of owners after the last one that settled.
+type CapsOpened struct {
+	First  bool
+	Former int
+}
+
+// CapsSettled is the result of SettleCaps.
+type CapsSettled struct{}
+
 // InvalidEntry is the result of a log entry that could not be decoded.
 type InvalidEntry struct{ Err error }
 
 func (ConfigResult) result()    {}
 func (PromotionResult) result() {}
 func (OrdersClosed) result()    {}
+func (CapsOpened) result()      {}
+func (CapsSettled) result()     {}
 func (InvalidEntry) result()    {}
 
 // Config is a stored configuration, as received from the operator.
@@ -99,6 +120,14 @@
 type snapshotState struct {
 	Config Config
 	Orders map[string]PromotionOrder
+	Caps   capsState `json:",omitzero"`
+}
+
+// capsState is what is known of the owners of the caps of customers.
+type capsState struct {
+	First     uint64 `json:",omitempty"` // term of the first owner, or 0
+	Newest    uint64 `json:",omitempty"`
+	Unsettled int    `json:",omitempty"` // owners after the last one that settled
 }
 
 // record is the encoding of a command in the log. Exactly one field is set.
@@ -106,6 +135,8 @@
 	Config *PutConfig      `json:",omitempty"`
 	Order  *OrderPromotion `json:",omitempty"`
 	Close  *CloseOrders    `json:",omitempty"`
+	Open   *OpenCaps       `json:",omitempty"`
+	Settle *SettleCaps     `json:",omitempty"`
 }
 
 // New returns an empty ledger.
@@ -122,6 +153,10 @@
 		return json.Marshal(record{Order: &c})
 	case CloseOrders:
 		return json.Marshal(record{Close: &c})
+	case OpenCaps:
+		return json.Marshal(record{Open: &c})
+	case SettleCaps:
+		return json.Marshal(record{Settle: &c})
 	default:
 		return nil, eris.Errorf("ledger: unknown command %T", c)
 	}
@@ -143,6 +178,10 @@
 		return l.recordOrder(*r.Order, index)
 	case r.Close != nil:
 		return l.closeOrders(*r.Close)
+	case r.Open != nil:
+		return l.state.Caps.open(r.Open.Term)
+	case r.Settle != nil:
+		return l.state.Caps.settle(r.Settle.Term)
 	}
 	return InvalidEntry{Err: eris.Errorf("ledger: entry %d contains no command", index)}
 }
@@ -176,6 +215,25 @@
 	return OrdersClosed{}
 }
 
+// open records an owner. The first one has no loans before it, so it counts as settled.
+func (s *capsState) open(term uint64) Result {
+	if s.First == 0 {
+		s.First, s.Newest = term, term
+	} else if term > s.Newest {
+		s.Newest = term
+		s.Unsettled++
+	}
+	return CapsOpened{First: s.First == term, Former: max(0, s.Unsettled-1)}
+}
+
+// settle records that the owner of a term has settled, unless there is a newer one.
+func (s *capsState) settle(term uint64) Result {
+	if s.Newest == term {
+		s.Unsettled = 0
+	}
+	return CapsSettled{}
+}
+
 func (l *Ledger) notifyChange() {
 	close(l.configChanged)
 	l.configChanged = make(chan struct{})
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -93,3 +93,37 @@
 		t.Fatal("the result of an undecodable entry is not InvalidEntry")
 	}
 }
+
+// TestCapOwners guards against an owner of the caps that takes the loans of several former owners for
+// those of one, also after a restart from a snapshot and if an entry is repeated.
+func TestCapOwners(t *testing.T) {
+	l := ledger.New()
+	var got []any
+	for i, c := range []ledger.Command{
+		ledger.OpenCaps{Term: 2},
+		ledger.OpenCaps{Term: 2},
+		ledger.OpenCaps{Term: 5},
+		ledger.OpenCaps{Term: 5},
+		ledger.OpenCaps{Term: 6},
+		ledger.SettleCaps{Term: 5},
+		ledger.OpenCaps{Term: 7},
+		ledger.SettleCaps{Term: 7},
+		ledger.OpenCaps{Term: 9},
+	} {
+		result := apply(t, l, uint64(i+1), c)
+		if opened, ok := result.(ledger.CapsOpened); ok {
+			got = append(got, opened)
+		}
+		restored := ledger.New()
+		if err := restored.Restore(l.Snapshot()); err != nil {
+			t.Fatal(err)
+		}
+		l = restored
+	}
+	want := []any{
+		ledger.CapsOpened{First: true}, ledger.CapsOpened{First: true}, ledger.CapsOpened{}, ledger.CapsOpened{}, ledger.CapsOpened{Former: 1}, ledger.CapsOpened{Former: 2}, ledger.CapsOpened{},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
