--- a/caps/holder.go
+++ b/caps/holder.go
@@ -47,6 +47,7 @@
 
 	want     int64              // tokens that it should have
 	idle     bool               // no request is expected soon
+	askAgain time.Time          // when to ask again for an idle stock that the owner had no tokens for
 	lastUse  time.Time          // of the last request
 	tried    int                // requests since the last Ask
 	demand   float64            // requests per second, smoothed
@@ -107,6 +108,8 @@
 	horizon = 2 * time.Second
 	// keepIdle is how long after the last request a holder keeps a token.
 	keepIdle = 15 * time.Second
+	// idleAskInterval is the time between Asks for an idle stock.
+	idleAskInterval = 2 * time.Second
 	// idleNeed is the number of tokens needed within the horizon below which a stock is idle.
 	idleNeed = 0.5
 	// demandTime is the time constant of the demand.
@@ -342,7 +345,7 @@
 		}
 		h.holds, h.flows = h.holds || s.tokens > 0, h.flows || s.flow.size > 0
 		unmet := s.unmet()
-		if !s.worthAsking(unmet) {
+		if !s.worthAsking(unmet, now) {
 			continue
 		}
 		if !unanswered {
@@ -359,8 +362,9 @@
 
 // worthAsking reports whether the owner does not know all that it should of the stock, or may
 // have tokens for it.
-func (s *stock) worthAsking(unmet [classes]int) bool {
-	if unmet != [classes]int{} || s.tokens < s.want || s.flow.want != s.flow.size {
+func (s *stock) worthAsking(unmet [classes]int, now time.Time) bool {
+	wants := s.tokens < s.want && !(s.idle && now.Before(s.askAgain))
+	if unmet != [classes]int{} || wants || s.flow.want != s.flow.size {
 		return true
 	}
 	if !s.known {
@@ -481,6 +485,9 @@
 		s.flow.set(in.Flow, s.cap.Rate, now)
 	}
 	h.holds, h.flows = h.holds || s.tokens > 0, h.flows || s.flow.size > 0
+	if s.idle && s.tokens < s.want {
+		s.askAgain = now.Add(idleAskInterval)
+	}
 	s.admit, s.toldAt = in.Admit, now
 	for k, wait := range in.Wait {
 		limit := blockTime
--- a/caps/load_test.go
+++ b/caps/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/fxamacker/cbor/v2"
 
 	"tamarackcross/caps"
 )
@@ -58,6 +60,7 @@
 	loads     []*load
 	tallies   map[string]*tally
 	asks      int
+	bytes     int // of Asks and Grants
 	sends     map[string][]time.Time
 }
 
@@ -102,7 +105,7 @@
 	if f.owner != nil && f.owner.Settled(f.now) {
 		f.unsettled = 0
 	}
-	f.tallies, f.asks = make(map[string]*tally), 0
+	f.tallies, f.asks, f.bytes = make(map[string]*tally), 0, 0
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(tick)
 		for _, l := range f.loads {
@@ -159,6 +162,7 @@
 	if e.asked != nil && f.now.Sub(e.askedAt) >= 2*tick {
 		if f.owner != nil && !e.cut {
 			g := f.owner.Handle(e.asked, f.now, f.now)
+			f.bytes += size(e.asked) + size(&g)
 			e.holder.Apply(&g, e.askedAt, f.now)
 			e.asked = nil
 		} else if f.now.Sub(e.askedAt) > settleLimit {
@@ -187,7 +191,8 @@
 		lines = append(lines, t.line(key, d))
 	}
 	slices.Sort(lines)
-	lines = append(lines, fmt.Sprintf("asks %.1f/s an entry", float64(f.asks)/d.Seconds()/float64(len(f.entries))))
+	perEntry := d.Seconds() * float64(len(f.entries))
+	lines = append(lines, fmt.Sprintf("asks %.1f/s, %.0f B/s an entry", float64(f.asks)/perEntry, float64(f.bytes)/perEntry))
 	for customer, sends := range f.sends {
 		l := f.limits[customer]
 		if n := mostInWindow(sends, f.now.Add(-d), f.bound.Window); float64(n) > f.bound.Most(l.rate, l.burst) {
@@ -197,6 +202,15 @@
 	return strings.Join(lines, "\n")
 }
 
+// size returns the size of a message in bytes.
+func size(msg any) int {
+	data, err := cbor.Marshal(msg)
+	if err != nil {
+		panic(err) // messages can be encoded
+	}
+	return len(data)
+}
+
 func (t *tally) line(key string, d time.Duration) string {
 	return fmt.Sprintf("%s: offered %.1f/s sent %.1f/s refused %.2f%% waited %.0f%%", key, float64(t.offered)/d.Seconds(), float64(t.sent)/d.Seconds(),
 		100*float64(t.refused)/float64(max(1, t.offered)), 100*float64(t.waited)/float64(max(1, t.offered)))
@@ -237,6 +251,8 @@
 				f.setCaps()
 			case "load":
 				f.load(t, d)
+			case "skew":
+				f.skew(t, d)
 			case "elect":
 				f.elect()
 			case "lose-owner":
@@ -283,6 +299,29 @@
 	}
 }
 
+// skew sets the demand of customers of which the n-th sends n^-1.2 times as much as the first, at any
+// entry, and their caps to 1.6 times that.
+func (f *fleet) skew(t *testing.T, d *datadriven.TestData) {
+	var count int
+	var total, sum float64
+	d.ScanArgs(t, "count", &count)
+	scanFloat(t, d, "rate", &total)
+	part := func(i int) float64 { return math.Pow(float64(i+1), -1.2) }
+	var at []int
+	for i := range f.entries {
+		at = append(at, i)
+	}
+	for i := range count {
+		sum += part(i)
+	}
+	for i := range count {
+		name, rate := fmt.Sprint("c", i), total*part(i)/sum
+		f.limits[name] = limit{1.6 * rate, 1.6 * rate}
+		f.loads = append(f.loads, &load{customer: name, perS: rate, entries: at})
+	}
+	f.setCaps()
+}
+
 func scanFloat(t *testing.T, d *datadriven.TestData, key string, out *float64) {
 	var s string
 	d.ScanArgs(t, key, &s)
