caps: shares of the rate are taken out again

Cause: a new owner reserves the shares that the former one may have lent; and stocks left no room for the two tokens of a share, so that few entries had one when the zone was cut off.

--- a/caps/caps.go
+++ b/caps/caps.go
@@ -15,11 +15,6 @@
 // clock of the owner. A token that was lent to a holder which crashed comes back to nobody: the
 // bucket fills again at its rate.
 //
-// A holder with steady demand for a customer with a high rate gets a part of the rate as well, a
-// flow: as long as its loans last, it has a bucket of its own of two tokens, which it need not
-// report. The owner counts these as lent, and its bucket gains only by the rest of the rate. A flow
-// is a part of the rate that the holder knows, and ends if the depth is lowered.
-//
 // # Owners
 //
 // An owner lends only for confirmLife after a majority last confirmed it. The owner of a later
@@ -96,14 +91,6 @@
 // classOf returns the class of a priority, of which 0 is the highest.
 func classOf(priority int) int { return min(max(priority, 0), classes-1) }
 
-// unknownFlow returns the part of the rate that may be lent as flows by owners that are not known.
-func (c Cap) unknownFlow() int64 {
-	if c.Rate < flowRate {
-		return 0
-	}
-	return flowPart
-}
-
 // reserved returns how many tokens of a bucket are kept for classes above the given one.
 func (c Cap) reserved(class int) float64 { return c.Depth * float64(class) / 10 }
 
@@ -113,16 +100,6 @@
 	lentPart = 0.75
 	// idlePart is the part that may be lent for stocks that are idle.
 	idlePart = 0.5
-	// wholeRate is the whole rate of a bucket, in the unit of flows.
-	wholeRate = 1_000_000
-	// flowPart is the part of the rate that may be lent as flows. The owner keeps the rest for
-	// requests anywhere.
-	flowPart = wholeRate * 4 / 10
-	// flowRate is the least rate, in operations per second, of a bucket that lends flows. An owner
-	// reserves the whole flowPart of these while it does not know the flows of the former one.
-	flowRate = 150
-	// flowDepth is the number of tokens that a flow fills. They count as lent while it lasts.
-	flowDepth = 2
 	// waitRoom is how many tokens stocks leave for requests that wait, in small buckets.
 	waitRoom = 6
 )
@@ -151,8 +128,6 @@
 	Want     int64        // tokens that the holder should have
 	Idle     bool         // it does not expect to need them soon
 	Unmet    [classes]int // requests by class that wait, or have been refused since the last Ask
-	Flow     int64        // flow that the holder has, in millionths of the rate
-	WantFlow int64        // flow that it should have
 }
 
 // State says what a Grant is.
@@ -185,7 +160,6 @@
 	Lent     int64                  // all tokens lent since the holder began to count, its claim included
 	Void     int64                  // of these, to be dropped unless received before
 	Depth    int64                  // of the bucket, rounded up
-	Flow     int64                  // flow of the holder, in millionths of the rate
 	Admit    int                    // lowest class that may spend tokens now; -1 for none
 	Wait     [classes]time.Duration // if tokens are short: until there will be one for all that wait or were refused
 }
--- a/caps/export_test.go
+++ b/caps/export_test.go
@@ -8,7 +8,7 @@
 // SkipUnknown makes the owner forget the loans of former owners.
 func (o *Owner) SkipUnknown() {
 	for _, c := range o.customers {
-		c.unknown, c.unknownFlow = 0, 0
+		c.unknown = 0
 	}
 }
 
--- a/caps/holder.go
+++ b/caps/holder.go
@@ -25,7 +25,6 @@
 	low      bool              // a stock is low
 	changed  bool              // the owner does not know all that was spent
 	holds    bool              // it has had tokens since the last Ask, or still has
-	flows    bool              // likewise, flows
 	refusals uint64
 }
 
@@ -42,8 +41,7 @@
 	covered  int64   // claim, and what was spent of loans of former owners without telling them
 	told     told    // what the owner may know
 	reported int64   // gone and returned, in the newest Ask that was answered
-	flow     flow
-	known    bool // the owner has answered an Ask with this account
+	known    bool    // the owner has answered an Ask with this account
 
 	want     int64              // tokens that it should have
 	idle     bool               // no request is expected soon
@@ -51,7 +49,6 @@
 	lastUse  time.Time          // of the last request
 	tried    int                // requests since the last Ask
 	demand   float64            // requests per second, smoothed
-	steady   float64            // likewise, over a longer time
 	waiting  [classes]int       // requests that wait for an Ask
 	refused  [classes]int       // requests refused since the last Ask
 	toldAt   time.Time          // of the last word of the owner
@@ -60,41 +57,6 @@
 	comeback [classes]time.Time // when there will have been tokens for all that were refused
 }
 
-// flow is a part of the rate of a customer.
-type flow struct {
-	size     int64   // in millionths of the rate
-	want     int64   // that the holder should have
-	tokens   float64 // at most flowDepth
-	filledAt time.Time
-}
-
-// take takes a token of the flow if there is one. rate is that of the customer.
-func (f *flow) take(rate float64, now time.Time) bool {
-	if f.size == 0 {
-		return false
-	}
-	if since := now.Sub(f.filledAt); since > 0 {
-		f.tokens = min(flowDepth, f.tokens+float64(f.size)/wholeRate*rate*since.Seconds())
-		f.filledAt = now
-	}
-	if f.tokens < 1 {
-		return false
-	}
-	f.tokens--
-	return true
-}
-
-// set changes the flow. It has been filled until now with its former size.
-func (f *flow) set(size int64, rate float64, now time.Time) {
-	if f.size > 0 && f.take(rate, now) {
-		f.tokens++
-	}
-	if f.size == 0 || size == 0 {
-		f.tokens = 0
-	}
-	f.size, f.filledAt = size, now
-}
-
 // told is what a holder said in its last Ask of a customer. It says the same again until it is
 // answered, so that what it spends meanwhile is known not to be known to the owner.
 type told struct {
@@ -116,20 +78,6 @@
 	demandTime = 2 * time.Second
 	// reportInterval is how long a holder may keep to itself what was spent.
 	reportInterval = time.Second
-	// steadyTime is the time constant of the demand for flows.
-	steadyTime = 8 * time.Second
-	// leastFlow is the demand in requests per second from which a holder gets a flow, and flowDemand
-	// the part of it that the flow covers.
-	leastFlow  = 1
-	flowDemand = 0.6
-	// flowDecline is how many times the demand of the last seconds the flow may cover at most.
-	flowDecline = 1.5
-	// flowInterval is the time between Asks of a holder that has flows, so that they follow the
-	// demand.
-	flowInterval = 500 * time.Millisecond
-	// flowTolerance is how much the demand may change until the holder asks for another flow, as a
-	// fraction.
-	flowTolerance = 0.25
 	// renewInterval is the time between Asks of a holder that has loans.
 	renewInterval = LoanLife / 4
 	// admitLife is how long the word of the owner on the classes that may spend is in force.
@@ -179,12 +127,8 @@
 		limit, ok := caps[name]
 		if !ok {
 			s.drop(s.tokens)
-			s.flow = flow{}
 		} else if depth := max(s.cap.Depth, s.depth); s.capped && limit.Depth < depth {
 			s.shrink(limit.Depth / depth)
-			s.flow = flow{}
-		} else if limit.Rate < s.cap.Rate {
-			s.flow = flow{}
 		}
 		s.capped, s.cap, s.depth = ok, limit, 0
 	}
@@ -225,7 +169,7 @@
 	s.tried++
 	s.lastUse = now
 	held := class > s.admit && now.Sub(s.toldAt) < admitLife
-	if !held && (s.flow.take(s.cap.Rate, now) || h.spend(s, class)) {
+	if !held && h.spend(s, class) {
 		return Verdict{}
 	}
 	h.low = true
@@ -302,7 +246,7 @@
 	if !now.Before(h.until) {
 		h.expire()
 	}
-	if h.spend(s, class) || s.flow.take(s.cap.Rate, now) {
+	if h.spend(s, class) {
 		return Verdict{}
 	}
 	return h.refuse(s, class, now)
@@ -317,8 +261,6 @@
 		return h.askedAt.Add(h.gap)
 	case h.changed:
 		return h.askedAt.Add(max(h.gap, reportInterval))
-	case h.flows:
-		return h.askedAt.Add(max(h.gap, flowInterval))
 	case h.holds:
 		return h.askedAt.Add(renewInterval)
 	}
@@ -332,7 +274,7 @@
 	}
 	since, unanswered := now.Sub(h.askedAt), h.number > h.answered
 	h.number++
-	h.askedAt, h.urgent, h.low, h.changed, h.holds, h.flows = now, false, false, false, false, false
+	h.askedAt, h.urgent, h.low, h.changed, h.holds = now, false, false, false, false
 	a := Ask{Holder: h.name, Run: h.run, Number: h.number, Epoch: h.epoch, Term: h.term, Version: h.version}
 	for _, name := range h.names {
 		s := h.stocks[name]
@@ -340,10 +282,7 @@
 		if !unanswered {
 			s.giveBack()
 		}
-		if s.flow.want < s.flow.size {
-			s.flow.set(s.flow.want, s.cap.Rate, now)
-		}
-		h.holds, h.flows = h.holds || s.tokens > 0, h.flows || s.flow.size > 0
+		h.holds = h.holds || s.tokens > 0
 		unmet := s.unmet()
 		if !s.worthAsking(unmet, now) {
 			continue
@@ -354,7 +293,7 @@
 		s.told.number = h.number
 		a.Items = append(a.Items, AskItem{
 			Customer: name, Claim: s.claim, Covered: s.covered, Gone: s.told.gone, Returned: s.told.returned,
-			Want: s.want, Idle: s.idle, Unmet: unmet, Flow: s.flow.size, WantFlow: s.flow.want,
+			Want: s.want, Idle: s.idle, Unmet: unmet,
 		})
 	}
 	return a
@@ -364,11 +303,11 @@
 // have tokens for it.
 func (s *stock) worthAsking(unmet [classes]int, now time.Time) bool {
 	wants := s.tokens < s.want && !(s.idle && now.Before(s.askAgain))
-	if unmet != [classes]int{} || wants || s.flow.want != s.flow.size {
+	if unmet != [classes]int{} || wants {
 		return true
 	}
 	if !s.known {
-		return s.covered > 0 || s.flow.size > 0
+		return s.covered > 0
 	}
 	return s.gone+s.returned != s.reported
 }
@@ -389,7 +328,6 @@
 		weight := min(1, float64(since)/float64(demandTime))
 		s.demand += weight * (float64(s.tried)/since.Seconds() - s.demand)
 	}
-	s.measureFlow(since)
 	s.tried = 0
 	need := s.demand * horizon.Seconds()
 	s.want, s.idle = int64(math.Ceil(need)), false
@@ -404,21 +342,6 @@
 	}
 }
 
-// measureFlow updates the flow that the holder should have.
-func (s *stock) measureFlow(since time.Duration) {
-	if since > 0 {
-		weight := min(1, float64(since)/float64(steadyTime))
-		s.steady += weight * (float64(s.tried)/since.Seconds() - s.steady)
-	}
-	part := 0.0
-	if steady := min(s.steady, flowDecline*s.demand); s.capped && s.cap.Rate >= flowRate && steady >= leastFlow {
-		part = flowDemand * steady / s.cap.Rate * wholeRate
-	}
-	if have := float64(s.flow.want); part < have*(1-flowTolerance) || part > have*(1+flowTolerance) {
-		s.flow.want = int64(part)
-	}
-}
-
 // giveBack gives back tokens that the holder does not need.
 func (s *stock) giveBack() {
 	if s.idle || s.tokens > 2*s.want+1 {
@@ -481,10 +404,7 @@
 	if s.told.number == g.Number {
 		s.reported = s.told.gone + s.told.returned
 	}
-	if g.Number == h.number && g.Version >= h.version { // else a later Ask has told the flow, or the cap is lower
-		s.flow.set(in.Flow, s.cap.Rate, now)
-	}
-	h.holds, h.flows = h.holds || s.tokens > 0, h.flows || s.flow.size > 0
+	h.holds = h.holds || s.tokens > 0
 	if s.idle && s.tokens < s.want {
 		s.askAgain = now.Add(idleAskInterval)
 	}
@@ -507,10 +427,10 @@
 
 // dropAll drops all tokens and begins to count anew.
 func (h *Holder) dropAll() {
-	h.until, h.holds, h.flows = time.Time{}, false, false
+	h.until, h.holds = time.Time{}, false
 	h.epoch++
 	for _, s := range h.stocks {
-		s.tokens, s.flow = 0, flow{}
+		s.tokens = 0
 		s.restart(0)
 	}
 }
--- a/caps/owner.go
+++ b/caps/owner.go
@@ -35,17 +35,15 @@
 
 // customer is the bucket of a customer.
 type customer struct {
-	cap         Cap
-	held        heldCap
-	capped      bool
-	level       float64 // tokens that are not lent
-	lent        int64   // tokens that holders may have, as far as they are known
-	unknown     float64 // tokens that other holders may have from former owners
-	flow        int64   // sum of the flows of the accounts
-	unknownFlow int64   // flows that other holders may have from former owners
-	filledAt    time.Time
-	unmet       [classes]int // sum over the accounts
-	deficit     int64        // likewise
+	cap      Cap
+	held     heldCap
+	capped   bool
+	level    float64 // tokens that are not lent
+	lent     int64   // tokens that holders may have, as far as they are known
+	unknown  float64 // tokens that other holders may have from former owners
+	filledAt time.Time
+	unmet    [classes]int // sum over the accounts
+	deficit  int64        // likewise
 }
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
@@ -65,7 +63,6 @@
 	returned int64 // as reported
 	unmet    [classes]int
 	deficit  int64 // of the stock that the holder wants
-	flow     int64 // the largest that the holder may have
 }
 
 func (a *account) outstanding() int64 { return a.lent - a.gone - a.returned }
@@ -161,7 +158,7 @@
 				c.level = limit.Depth // nothing was sent in the last window
 			}
 			if now.Before(o.unknownUntil) {
-				c.unknown, c.unknownFlow = limit.Depth*o.unknownPart, limit.unknownFlow()
+				c.unknown = limit.Depth * o.unknownPart
 			}
 			o.customers[name] = c
 		}
@@ -208,7 +205,7 @@
 func (c *customer) fill(o *Owner, now time.Time) {
 	if c.filledAt.Before(o.unknownUntil) && !now.Before(o.unknownUntil) {
 		c.fillTo(o, o.unknownUntil) // until then the tokens may have been spent
-		c.unknown, c.unknownFlow = 0, 0
+		c.unknown = 0
 	}
 	c.fillTo(o, now)
 }
@@ -219,8 +216,7 @@
 		from = o.fillsFrom
 	}
 	if now.After(from) {
-		own := max(0, wholeRate-c.flow-c.unknownFlow)
-		c.level += float64(own) / wholeRate * c.rate(from) * now.Sub(from).Seconds()
+		c.level += c.rate(from) * now.Sub(from).Seconds()
 	}
 	if now.After(c.filledAt) {
 		c.filledAt = now
@@ -310,7 +306,7 @@
 	for i := range a.Items {
 		in := &a.Items[i]
 		c := o.customers[in.Customer]
-		if in.Covered <= 0 && in.Flow <= 0 || c == nil || r != nil && r.accounts[in.Customer] != nil {
+		if in.Covered <= 0 || c == nil || r != nil && r.accounts[in.Customer] != nil {
 			continue
 		}
 		switch {
@@ -318,30 +314,18 @@
 			return claimsRefused
 		case a.Version < o.version:
 			out = claimsEarly
-		case out == claimsFit && c.capped && float64(c.lent+in.claimed()) > lentPart*c.cap.Depth:
+		case out == claimsFit && c.capped && float64(c.lent+in.Claim) > lentPart*c.cap.Depth:
 			return claimsRefused
 		}
 	}
 	return out
 }
 
-// claimed returns how many tokens count as lent because of the claims.
-func (in *AskItem) claimed() int64 {
-	if in.Flow > 0 {
-		return in.Claim + flowDepth
-	}
-	return in.Claim
-}
-
 // open returns the account of a holder that may claim tokens of former owners. Room is no longer
 // reserved for what it claims and for what it has spent.
 func (c *customer) open(in *AskItem) *account {
 	c.lent += in.Claim
 	c.unknown = max(0, c.unknown-float64(in.Covered))
-	if in.Flow > 0 {
-		c.unknown = max(0, c.unknown-flowDepth) // setFlow counts them as lent
-		c.unknownFlow = max(0, c.unknownFlow-in.Flow)
-	}
 	return &account{lent: in.Claim}
 }
 
@@ -360,31 +344,6 @@
 		c.unmet[k] += in.Unmet[k] - acc.unmet[k]
 	}
 	acc.unmet = in.Unmet
-	c.setFlow(acc, in.Flow) // no answer to an earlier Ask can raise it any more
-}
-
-// setFlow sets the largest flow that a holder may have.
-func (c *customer) setFlow(acc *account, flow int64) {
-	if acc.flow == 0 && flow > 0 {
-		c.lent += flowDepth
-	} else if acc.flow > 0 && flow == 0 {
-		c.lent -= flowDepth
-	}
-	c.flow += flow - acc.flow
-	acc.flow = flow
-}
-
-// lendFlow returns the flow of a holder. As long as those of former owners may be in force, nobody
-// gets more than it has.
-func (o *Owner) lendFlow(c *customer, acc *account, want int64) int64 {
-	most := acc.flow
-	if c.cap.Rate >= flowRate && !c.filledAt.Before(o.unknownUntil) && (acc.flow > 0 || min(c.level, o.lendable(c, lentPart)-waitRoom) >= flowDepth) {
-		most += max(0, flowPart-c.flow)
-	}
-	flow := max(0, min(want, most))
-	c.setFlow(acc, max(flow, acc.flow)) // the holder may not get the answer
-	c.trim()
-	return flow
 }
 
 // lend lends what the bucket has to a holder: tokens for the requests that were not met, the
@@ -417,8 +376,7 @@
 	}
 	room := min(c.level-(1-part)*c.cap.Depth, o.lendable(c, part), o.lendable(c, lentPart)-waitRoom)
 	o.grant(c, acc, portion(room, deficit, c.deficit))
-	flow := o.lendFlow(c, acc, in.WantFlow)
-	out := GrantItem{Customer: in.Customer, Lent: acc.lent, Void: acc.void, Flow: flow, Depth: int64(math.Ceil(c.cap.Depth)), Admit: -1}
+	out := GrantItem{Customer: in.Customer, Lent: acc.lent, Void: acc.void, Depth: int64(math.Ceil(c.cap.Depth)), Admit: -1}
 	for k := range classes {
 		if total >= c.cap.reserved(k) {
 			out.Admit = k
@@ -477,7 +435,6 @@
 		c := o.customers[name]
 		c.fill(o, at) // without the room that the tokens leave: they may have been spent just before
 		c.lent -= acc.outstanding()
-		c.setFlow(acc, 0)
 		c.deficit -= acc.deficit
 		for k := range classes {
 			c.unmet[k] -= acc.unmet[k]
