--- a/review/stand2/group.go
+++ b/review/stand2/group.go
@@ -31,9 +31,10 @@
 	number  int
 	log     []*commit // of the primary
 	members []*member
-	primary *member           // nil from a step-down until the next promotion
-	token   int               // newest fencing token that was seen
-	lost    map[string]string // acknowledged writes that a promotion discarded, with the promoted member
+	primary *member                                     // nil from a step-down until the next promotion
+	token   int                                         // newest fencing token that was seen
+	late    func(m *member, order string) time.Duration // after which an order is carried out, without an answer; 0: at once
+	lost    map[string]string                           // acknowledged writes that a promotion discarded, with the promoted member
 }
 
 // groupKind holds the figures of a service, as a site file has them.
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(bin string, trouble bool, rec *record) error{
 	"newcomer": playNewcomer,
 	"drain":    playDrain,
+	"resume":   playResume,
 }
 
 func main() {
--- a/review/stand2/member.go
+++ b/review/stand2/member.go
@@ -138,7 +138,11 @@
 		if err != nil {
 			return
 		}
-		out := c.answer(strings.TrimSuffix(line, "\r\n"))
+		line = strings.TrimSuffix(line, "\r\n")
+		if c.isLate(line) {
+			continue
+		}
+		out := c.answer(line)
 		if out == "" {
 			return
 		}
@@ -148,6 +152,29 @@
 	}
 }
 
+// isLate reports whether an order gets no answer. It is carried out later then.
+func (c *memberConn) isLate(line string) bool {
+	g := c.m.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	text, ok := strings.CutPrefix(line, "QUERY - ")
+	word, _, _ := strings.Cut(text, " ")
+	if !ok || g.late == nil || word != "PAUSE" && word != "RESUME" && word != "STEPDOWN" {
+		return false
+	}
+	delay := g.late(c.m, word)
+	if delay == 0 {
+		return false
+	}
+	g.rec.add("%s at member %s by %s gets no answer; it is carried out %v later", text, c.m.id, c.who, delay)
+	time.AfterFunc(delay, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		c.status(strings.Split(text, " "))
+	})
+	return true
+}
+
 // ready returns the READY message. The caller holds the lock of the group.
 func (c *memberConn) ready() string {
 	state := "I"
--- a/review/stand2/newcomer.go
+++ b/review/stand2/newcomer.go
@@ -53,21 +53,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	if trouble {
-		cut := []string{}
-		for _, p := range s.core {
-			cut = append(cut, p.name)
-		}
-		for _, p := range s.front[len(s.front)-cutFronts:] {
-			cut = append(cut, p.name)
-		}
-		rec.add("the primary %s is cut off from %v for %v", g.members[0].id, cut, cutLength)
-		s.setMute(g.members[0].id, true)
-		g.members[0].way.setCut(cut...)
-		time.AfterFunc(cutLength, func() {
-			rec.add("the cut heals")
-			g.members[0].way.setCut()
-			s.setMute(g.members[0].id, false)
-		})
+		s.cutPrimary(g.members[0], cutLength)
 	}
 	time.Sleep(1500 * time.Millisecond)
 	// Planned work: a replica is replaced. The new member starts first, then the old one drains. The
@@ -94,20 +80,25 @@
 	close(w.stop)
 	w.wg.Wait()
 
+	return w.judge(g)
+}
+
+// judge checks the rule LOST.
+func (w *writers) judge(g *group) error {
 	acked, lost := 0, 0
 	g.mu.Lock()
 	for id := range w.acked {
 		acked++
 		if member := g.lost[id]; member != "" {
 			lost++
-			rec.violation("LOST: write %s was acknowledged to its requester and is not in the log of %s, which was promoted", id, member)
+			w.s.rec.violation("LOST: write %s was acknowledged to its requester and is not in the log of %s, which was promoted", id, member)
 		}
 	}
 	leads := g.primary != nil
 	g.mu.Unlock()
-	rec.add("%d writes acknowledged, %d of them lost", acked, lost)
-	for _, p := range s.core {
-		s.logLines(p, "primary does not answer", "stop receiving until a promotion", "member that received most", "promotion ordered", "promotion was accepted")
+	w.s.rec.add("%d writes acknowledged, %d of them lost", acked, lost)
+	for _, p := range w.s.core {
+		w.s.logLines(p, "primary does not answer", "stop receiving until a promotion", "member that received most", "promotion ordered", "promotion was accepted", "receive again")
 	}
 	if acked < 100 || !leads {
 		return fmt.Errorf("only %d writes were acknowledged, or there is no primary", acked)
@@ -115,6 +106,25 @@
 	return nil
 }
 
+// cutPrimary cuts a member off from control and from cutFronts entries for a time.
+func (s *site) cutPrimary(m *member, length time.Duration) {
+	cut := []string{}
+	for _, p := range s.core {
+		cut = append(cut, p.name)
+	}
+	for _, p := range s.front[len(s.front)-cutFronts:] {
+		cut = append(cut, p.name)
+	}
+	s.rec.add("the primary %s is cut off from %v for %v", m.id, cut, length)
+	s.setMute(m.id, true)
+	m.way.setCut(cut...)
+	time.AfterFunc(length, func() {
+		s.rec.add("the cut of %s heals", m.id)
+		m.way.setCut()
+		s.setMute(m.id, false)
+	})
+}
+
 // writers send single writes through all entries.
 type writers struct {
 	s    *site
