--- a/review/stand2/drain.go
+++ b/review/stand2/drain.go
@@ -97,7 +97,9 @@
 	return browseWork
 }
 
-func (d *drainCheck) record(id, who string) { d.rec.add("member ran %s, from %s", id, who) }
+func (d *drainCheck) record(id, who string, _ []*commit) {
+	d.rec.add("member ran %s, from %s", id, who)
+}
 
 // browse opens a session, reads once, and after begin runs a transaction. It retries the whole
 // operation after a promise, as it may.
--- a/review/stand2/group.go
+++ b/review/stand2/group.go
@@ -19,22 +19,22 @@
 
 // group is a service with a primary and replicas. The primary acknowledges a commit at once,
 // or once a replica has received it if sync is set. Replicas apply it later. A promotion
-// discards what the promoted member has not received.
+// discards what the promoted member has not received. A former primary that does not reach
+// the new one keeps its own log until it does.
 type group struct {
 	name string
 	kind groupKind
 	rec  *record
 
 	mu      sync.Mutex
-	changed *sync.Cond // the log, a member or the primary has changed
 	term    int
-	number  int
 	log     []*commit // of the primary
 	members []*member
-	primary *member                                     // nil from a step-down until the next promotion
-	token   int                                         // newest fencing token that was seen
-	late    func(m *member, order string) time.Duration // after which an order is carried out, without an answer; 0: at once
-	lost    map[string]string                           // acknowledged writes that a promotion discarded, with the promoted member
+	primary *member // nil from a step-down until the next promotion
+	token   int     // newest fencing token that was seen
+	// late returns after which time an order is carried out, without an answer; 0 means at once.
+	late func(m *member, order string) time.Duration
+	lost map[string]string // acknowledged writes that a promotion discarded, with the promoted member
 }
 
 // groupKind holds the figures of a service, as a site file has them.
@@ -49,50 +49,79 @@
 }
 
 func newGroup(name string, k groupKind, rec *record) *group {
-	g := &group{name: name, kind: k, rec: rec, term: 1, lost: make(map[string]string)}
-	g.changed = sync.NewCond(&g.mu)
-	return g
+	return &group{name: name, kind: k, rec: rec, term: 1, lost: make(map[string]string)}
 }
 
-// received returns how many commits of the log a replica holds. The caller holds g.mu.
-func (g *group) received(m *member) int {
+// receives reports whether a member gets what the primary sends. The caller holds g.mu.
+func (g *group) receives(m *member) bool {
+	return m.pausedTerm == 0 && !m.down && !m.deaf && !m.isolated && g.primary != nil && !g.primary.down && !g.primary.isolated &&
+		!time.Now().Before(m.receivesFrom)
+}
+
+// update brings the log of a replica up to date. The caller holds g.mu.
+func (g *group) update(m *member) {
 	if m == g.primary {
-		return len(g.log)
+		m.held, m.shown = len(g.log), len(g.log)
+		return
+	}
+	if m.branch != nil && g.receives(m) {
+		m.held = commonPrefix(m.branch, g.log)
+		m.shown, m.branch = min(m.shown, m.held), nil
 	}
-	if m.pausedTerm == 0 && !m.down && g.primary != nil && !time.Now().Before(m.receivesFrom) {
-		limit := time.Now().Add(-g.kind.receive)
+	if m.branch != nil {
+		return
+	}
+	if g.receives(m) {
+		limit := time.Now().Add(-g.kind.receive - m.farther)
 		for m.held < len(g.log) && !g.log[m.held].at.After(limit) {
 			m.held++
 		}
 	}
 	m.held = min(m.held, len(g.log))
-	return m.held
+	m.shown = min(m.shown, m.held)
+	limit := time.Now().Add(-g.kind.apply)
+	for m.shown < m.held && !g.log[m.shown].at.After(limit) {
+		m.shown++
+	}
 }
 
-// applied returns how many commits a member has applied. The caller holds g.mu.
-func (g *group) applied(m *member) int {
-	if m == g.primary {
-		return len(g.log)
+func commonPrefix(a, b []*commit) int {
+	n := 0
+	for n < min(len(a), len(b)) && a[n] == b[n] {
+		n++
 	}
-	n, limit := g.received(m), time.Now().Add(-g.kind.apply)
-	m.shown = min(m.shown, n)
-	for m.shown < n && !g.log[m.shown].at.After(limit) {
-		m.shown++
+	return n
+}
+
+// received returns the log that a member holds. The caller holds g.mu.
+func (g *group) received(m *member) []*commit {
+	g.update(m)
+	if m.branch != nil {
+		return m.branch
+	}
+	return g.log[:m.held]
+}
+
+// applied returns the log that the reads of a member see. The caller holds g.mu.
+func (g *group) applied(m *member) []*commit {
+	g.update(m)
+	if m.branch != nil {
+		return m.branch
 	}
-	return m.shown
+	return g.log[:m.shown]
 }
 
-func (g *group) positionAt(n int) string {
-	if n == 0 {
+// positionOf returns the position at which a log ends.
+func positionOf(log []*commit) string {
+	if len(log) == 0 {
 		return "1.0"
 	}
-	return g.log[n-1].position()
+	return log[len(log)-1].position()
 }
 
 // append adds a commit of the primary. The caller holds g.mu.
 func (g *group) append(ids []string) *commit {
-	g.number++
-	c := &commit{term: g.term, number: g.number, ids: slices.Clone(ids), at: time.Now()}
+	c := &commit{term: g.term, number: len(g.log) + 1, ids: slices.Clone(ids), at: time.Now()}
 	g.log = append(g.log, c)
 	return c
 }
@@ -101,16 +130,10 @@
 // holds g.mu, which is released meanwhile.
 func (g *group) confirm(m *member, c *commit) bool {
 	for m == g.primary && !m.down && c.term == g.term {
-		if !g.kind.sync {
+		if !g.kind.sync || slices.ContainsFunc(g.members, func(r *member) bool { return r != m && !r.down && slices.Contains(g.received(r), c) }) {
 			c.confirmed = true
 			return true
 		}
-		for _, r := range g.members {
-			if n := g.received(r); r != m && !r.down && n > 0 && g.log[n-1].number >= c.number {
-				c.confirmed = true
-				return true
-			}
-		}
 		g.mu.Unlock()
 		time.Sleep(time.Millisecond)
 		g.mu.Lock()
@@ -145,22 +168,34 @@
 	if m == g.primary || m.down {
 		return
 	}
-	n := g.received(m)
-	for _, c := range g.log[n:] {
+	old, next := g.log, slices.Clone(g.received(m))
+	kept := commonPrefix(old, next)
+	for _, c := range old[kept:] {
 		if c.confirmed {
 			for _, id := range c.ids {
 				g.lost[id] = m.id
 			}
 		}
 	}
-	g.rec.add("member %s of %s leads term %d with position %s; %d commits of the former primary are rolled back", m.id, g.name, g.term+1, g.positionAt(n), len(g.log)-n)
-	g.log = slices.Clone(g.log[:n])
-	g.primary, g.term = m, g.term+1
+	for _, c := range next {
+		for _, id := range c.ids {
+			delete(g.lost, id)
+		}
+	}
+	g.rec.add("member %s of %s leads term %d with position %s; %d commits of the former primary are discarded, %d that were discarded before are back",
+		m.id, g.name, g.term+1, positionOf(next), len(old)-kept, len(next)-kept)
 	for _, other := range g.members {
+		held := g.received(other)
 		other.pausedTerm = 0
-		other.held, other.shown = min(other.held, n), min(other.shown, n)
+		if other == m || commonPrefix(held, next) == len(held) && other.branch == nil {
+			other.branch = nil
+			continue
+		}
+		other.branch = slices.Clone(held) // until it reaches the new primary
 	}
+	g.log, g.primary, g.term = next, m, g.term+1
 	for _, other := range g.members {
+		g.update(other)
 		other.announce()
 	}
 }
@@ -168,7 +203,7 @@
 // stepDown makes the primary of a lower term a replica. The caller holds g.mu.
 func (g *group) stepDown(m *member, term int) {
 	if m == g.primary && term > g.term {
-		m.held, m.shown = len(g.log), len(g.log)
+		g.update(m)
 		g.primary = nil
 		m.announce()
 	}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -19,9 +19,10 @@
 
 // cases are the cases by their names. Each returns an error if it could not run.
 var cases = map[string]func(bin string, trouble bool, rec *record) error{
-	"newcomer": playNewcomer,
-	"drain":    playDrain,
-	"resume":   playResume,
+	"newcomer":  playNewcomer,
+	"returning": playReturning,
+	"drain":     playDrain,
+	"resume":    playResume,
 }
 
 func main() {
--- a/review/stand2/member.go
+++ b/review/stand2/member.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,8 +19,8 @@
 	born int64
 	l    net.Listener
 	way  *relay
-	work func(id string) time.Duration // of a statement of a requester
-	ran  func(id, who string)          // is told of each statement that it runs
+	work func(id string) time.Duration       // of a statement of a requester
+	ran  func(id, who string, log []*commit) // is told of each statement that it runs, and on which log
 	// firstAck, if set, is called when the first heartbeat is acknowledged.
 	firstAck func()
 
@@ -27,9 +28,13 @@
 	urgent chan struct{} // a heartbeat is due
 
 	// The lock of the group guards the fields below.
-	receivesFrom time.Time // it receives nothing before
-	held, shown  int       // commits that it has received, and applied
-	pausedTerm   int       // 0 if it receives
+	receivesFrom time.Time     // it receives nothing before
+	held, shown  int           // commits of the log of the group that it has received, and applied
+	branch       []*commit     // its own log, if a promotion has discarded a part of it and it does not know yet
+	farther      time.Duration // how much later than others it receives a commit
+	deaf         bool          // it receives nothing
+	isolated     bool          // it does not reach the other members
+	pausedTerm   int           // 0 if it receives
 	down         bool
 	draining     bool
 	seq          int
@@ -37,7 +42,7 @@
 }
 
 // addMember starts a member. It receives commits from the given time on.
-func (g *group) addMember(id, zone string, receivesFrom time.Time, work func(string) time.Duration, ran func(id, who string)) (*member, error) {
+func (g *group) addMember(id, zone string, receivesFrom time.Time, work func(string) time.Duration, ran func(id, who string, log []*commit)) (*member, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -75,6 +80,20 @@
 	}
 }
 
+// setDown makes the member crash, or come back with its log.
+func (m *member) setDown(down bool) {
+	m.g.mu.Lock()
+	m.down = down
+	if !down {
+		m.born, m.seq, m.pausedTerm = time.Now().UnixMilli(), 0, 0
+	}
+	m.g.mu.Unlock()
+	if down {
+		m.way.reset()
+	}
+	m.announce()
+}
+
 // stop ends the member.
 func (m *member) stop() {
 	m.g.mu.Lock()
@@ -108,7 +127,7 @@
 	}
 	g.mu.Lock()
 	m.conns++
-	full := m.conns > g.kind.maxConns
+	full, down := m.conns > g.kind.maxConns, m.down
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
@@ -116,6 +135,8 @@
 		g.mu.Unlock()
 	}()
 	switch {
+	case down:
+		return
 	case words[1] != g.name || len(words) > 3 && words[3] != m.id:
 		_, _ = fmt.Fprintf(nc, "FAULT MOVED %s\r\n", m.id)
 		return
@@ -135,7 +156,7 @@
 	}
 	for {
 		line, err := r.ReadString('\n')
-		if err != nil {
+		if err != nil || c.isDown() {
 			return
 		}
 		line = strings.TrimSuffix(line, "\r\n")
@@ -152,6 +173,12 @@
 	}
 }
 
+func (c *memberConn) isDown() bool {
+	c.m.g.mu.Lock()
+	defer c.m.g.mu.Unlock()
+	return c.m.down
+}
+
 // isLate reports whether an order gets no answer. It is carried out later then.
 func (c *memberConn) isLate(line string) bool {
 	g := c.m.g
@@ -185,7 +212,7 @@
 		state = "T"
 	}
 	g := c.m.g
-	return "READY " + state + " " + g.positionAt(g.applied(c.m)) + "\r\n"
+	return "READY " + state + " " + positionOf(g.applied(c.m)) + "\r\n"
 }
 
 // answer runs a query and returns its answer, or "" if the connection ends.
@@ -232,27 +259,18 @@
 	g := c.m.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	at := -1
-	for i, e := range g.log {
-		if e.term == term && e.number == number {
-			at = i + 1
-		}
-	}
-	if number == 0 {
-		at = 0
-	}
-	if at < 0 || g.received(c.m) < at {
-		return false
+	has := func(log []*commit) bool {
+		return number == 0 || slices.ContainsFunc(log, func(e *commit) bool { return e.term == term && e.number == number })
 	}
-	for g.applied(c.m) < at {
+	for has(g.received(c.m)) && !c.m.down {
+		if has(g.applied(c.m)) {
+			return true
+		}
 		g.mu.Unlock()
 		time.Sleep(2 * time.Millisecond)
 		g.mu.Lock()
-		if c.m.down || g.received(c.m) < at {
-			return false
-		}
 	}
-	return true
+	return false
 }
 
 func (c *memberConn) fault(code string) string {
@@ -313,7 +331,7 @@
 	if c.tx && !c.readOnly && !c.leads() || writes && (m != g.primary || c.tx && c.readOnly) {
 		return c.fault("READONLY"), nil
 	}
-	m.ran(id, c.who)
+	m.ran(id, c.who, g.applied(m))
 	out := "DATA row-" + id + "\r\nCOMPLETE " + m.id + ":" + id + "\r\n"
 	switch {
 	case writes && c.tx:
@@ -339,7 +357,7 @@
 // status executes STATUS, PAUSE, RESUME or STEPDOWN.
 func (c *memberConn) status(words []string) string {
 	g, m := c.m.g, c.m
-	n := g.received(m)
+	received := positionOf(g.received(m))
 	term := 0
 	if len(words) > 1 {
 		term, _ = strconv.Atoi(words[1])
@@ -359,7 +377,7 @@
 		role = "primary"
 	}
 	if words[0] != "STATUS" {
-		g.rec.add("%s at member %s by %s: %s, received %s, paused for term %d", strings.Join(words, " "), m.id, c.who, role, g.positionAt(n), m.pausedTerm)
+		g.rec.add("%s at member %s by %s: %s, received %s, paused for term %d", strings.Join(words, " "), m.id, c.who, role, received, m.pausedTerm)
 	}
-	return fmt.Sprintf("DATA %s %d %s %d %d %d %d\r\n%s", role, g.term, g.positionAt(n), m.pausedTerm, g.kind.apply.Milliseconds(), len(m.slots), m.conns, unsigned)
+	return fmt.Sprintf("DATA %s %d %s %d %d %d %d\r\n%s", role, g.term, received, m.pausedTerm, g.kind.apply.Milliseconds(), len(m.slots), m.conns, unsigned)
 }
--- a/review/stand2/newcomer.go
+++ b/review/stand2/newcomer.go
@@ -33,7 +33,7 @@
 		sync: true, slots: 3, maxConns: 43, handshake: 12 * time.Millisecond, receive: 2 * time.Millisecond, apply: 60 * time.Millisecond, promote: time.Second,
 	}, rec)
 	s.groups = []*group{g}
-	work, ran := uniform(5*time.Millisecond), func(id, who string) { rec.add("%s is run, from %s", id, who) }
+	work, ran := uniform(5*time.Millisecond), func(id, who string, _ []*commit) { rec.add("%s is run, from %s", id, who) }
 	for i, z := range s.zones {
 		if _, err := g.addMember(fmt.Sprintf("i-%d", i+1), z, time.Now(), work, ran); err != nil {
 			return err
@@ -132,8 +132,12 @@
 	wg   sync.WaitGroup
 	stop chan struct{}
 
+	reads bool // every other operation is a read
+
 	mu    sync.Mutex
 	acked map[string]bool
+	sent  map[string]time.Time // of reads
+	ackAt map[string]time.Time // of writes
 }
 
 func (w *writers) run(i int) {
@@ -154,13 +158,22 @@
 				continue
 			}
 		}
-		id := fmt.Sprintf("w%d-%d", i, n)
+		id, text := fmt.Sprintf("w%d-%d", i, n), "STORE 1a4 xkqpwnzd"
 		sent := time.Now()
-		a := q.query(id, "STORE 1a4 xkqpwnzd", 2*time.Second)
+		if w.reads && n%2 == 1 {
+			id, text = fmt.Sprintf("r%d-%d", i, n), "FETCH 1a4"
+			w.mu.Lock()
+			w.sent[id] = sent
+			w.mu.Unlock()
+		}
+		a := q.query(id, text, 2*time.Second)
 		w.s.rec.add("%s at %s, sent %.0f ms before: %s %s %v", id, p.name, time.Since(sent).Seconds()*1000, a.word, a.rest, a.err)
 		if a.word == "COMPLETE" {
 			w.mu.Lock()
 			w.acked[id] = true
+			if w.reads {
+				w.ackAt[id] = time.Now()
+			}
 			w.mu.Unlock()
 		}
 		if a.err != nil || a.state != "I" {
--- a/review/stand2/relay.go
+++ b/review/stand2/relay.go
@@ -114,6 +114,11 @@
 
 func (p *relay) close() {
 	_ = p.l.Close()
+	p.reset()
+}
+
+// reset closes all connections.
+func (p *relay) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for nc := range p.conns {
--- a/review/stand2/resume.go
+++ b/review/stand2/resume.go
@@ -23,12 +23,13 @@
 		sync: true, slots: 3, maxConns: 43, handshake: 12 * time.Millisecond, receive: 2 * time.Millisecond, apply: 60 * time.Millisecond, promote: time.Second,
 	}, rec)
 	s.groups = []*group{g}
-	work, ran := uniform(5*time.Millisecond), func(id, who string) { rec.add("%s is run, from %s", id, who) }
+	work, ran := uniform(5*time.Millisecond), func(id, who string, _ []*commit) { rec.add("%s is run, from %s", id, who) }
 	for i, z := range s.zones {
 		if _, err := g.addMember(fmt.Sprintf("i-%d", i+1), z, time.Now(), work, ran); err != nil {
 			return err
 		}
 	}
+	g.members[0].farther = 3 * time.Millisecond
 	first := g.members[2]
 	g.primary = first
 	if trouble {
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -43,9 +43,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 
-	mu    sync.Mutex
-	mute  map[string]bool // members whose heartbeats do not arrive
-	beats sync.WaitGroup
+	mu   sync.Mutex
+	mute map[string]bool // members whose heartbeats do not arrive
 }
 
 // siteKind holds the figures of an installation, as a site file has them.
@@ -252,7 +251,7 @@
 	return s.mute[id]
 }
 
-// beat sends the heartbeats of a member until it is down.
+// beat sends the heartbeats of a member until the installation ends.
 func (s *site) beat(m *member) {
 	client := &http.Client{Timeout: time.Second}
 	t := time.NewTicker(s.kind.heart)
@@ -274,11 +273,11 @@
 		}
 		down := m.down
 		m.g.mu.Unlock()
-		if down || s.ctx.Err() != nil {
+		if s.ctx.Err() != nil {
 			return
 		}
 		for range len(s.core) {
-			if s.isMute(m.id) {
+			if down || s.isMute(m.id) {
 				break
 			}
 			c := s.core[next%len(s.core)]
