--- a/review/stand2/group.go
+++ b/review/stand2/group.go
@@ -54,7 +54,7 @@
 
 // receives reports whether a member gets what the primary sends. The caller holds g.mu.
 func (g *group) receives(m *member) bool {
-	return m.pausedTerm == 0 && !m.down && !m.deaf && !m.isolated && g.primary != nil && !g.primary.down && !g.primary.isolated &&
+	return m.pausedTerm == 0 && !m.down && !m.deaf && g.primary != nil && !g.primary.down && !g.primary.cutFrom[m] && !m.cutFrom[g.primary] &&
 		!time.Now().Before(m.receivesFrom)
 }
 
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -23,6 +23,7 @@
 	"returning": playReturning,
 	"drain":     playDrain,
 	"resume":    playResume,
+	"leaving":   playLeaving,
 }
 
 func main() {
--- a/review/stand2/member.go
+++ b/review/stand2/member.go
@@ -23,18 +23,19 @@
 	ran  func(id, who string, log []*commit) // is told of each statement that it runs, and on which log
 	// firstAck, if set, is called when the first heartbeat is acknowledged.
 	firstAck func()
+	drainAck func() // likewise for the first one that says it is draining
 
 	slots  chan struct{}
 	urgent chan struct{} // a heartbeat is due
 
 	// The lock of the group guards the fields below.
-	receivesFrom time.Time     // it receives nothing before
-	held, shown  int           // commits of the log of the group that it has received, and applied
-	branch       []*commit     // its own log, if a promotion has discarded a part of it and it does not know yet
-	farther      time.Duration // how much later than others it receives a commit
-	deaf         bool          // it receives nothing
-	isolated     bool          // it does not reach the other members
-	pausedTerm   int           // 0 if it receives
+	receivesFrom time.Time        // it receives nothing before
+	held, shown  int              // commits of the log of the group that it has received, and applied
+	branch       []*commit        // its own log, if a promotion has discarded a part of it and it does not know yet
+	farther      time.Duration    // how much later than others it receives a commit
+	deaf         bool             // it receives nothing
+	cutFrom      map[*member]bool // members that it does not reach
+	pausedTerm   int              // 0 if it receives
 	down         bool
 	draining     bool
 	seq          int
--- a/review/stand2/newcomer.go
+++ b/review/stand2/newcomer.go
@@ -16,99 +16,123 @@
 }
 
 const (
-	cutLength = 7 * time.Second // of primary_cut on a day of corrimao-ne
-	cutFronts = 5               // of 8, a share of 0.625; that day has 0.65
+	cutFronts = 5                      // of 8, a share of 0.625; a day of corrimao-ne has 0.65
+	newFirst  = 500 * time.Millisecond // from the start of a new member until the old one drains
+	releaseAt = 1500 * time.Millisecond
 )
 
 // playNewcomer checks that an acknowledged commit of a service with a synchronous replica is in the
-// log of the promoted member. The primary is cut off from control and from most entries, and the
-// replacement of a replica begins while another one is being promoted.
+// log of the promoted member. The primary is cut off from its replicas, from control and from most
+// entries, and the replacement of a replica begins while another one is being promoted.
 func playNewcomer(bin string, trouble bool, rec *record) error {
-	s, err := newSite(bin, corrimao, rec)
+	s, g, err := newSyncSite(bin, rec)
 	if err != nil {
 		return err
 	}
 	defer s.close()
+	w, err := s.startWriters()
+	if err != nil {
+		return err
+	}
+	if trouble {
+		s.splitPrimary(g.members[0])
+	}
+	time.Sleep(releaseAt)
+	if err := s.replaceMember(g.members[2], "i-4"); err != nil {
+		return err
+	}
+	time.Sleep(8 * time.Second)
+	close(w.stop)
+	w.wg.Wait()
+	return w.judge(g)
+}
+
+// newSyncSite returns an installation with the figures of corrimao-ne and one service whose commits
+// wait for a replica.
+func newSyncSite(bin string, rec *record) (*site, *group, error) {
+	return newOneServiceSite(bin, rec, true, nil)
+}
+
+// newOneServiceSite returns an installation with the figures of corrimao-ne and one service. ran, unless nil,
+// is told of each statement that a member runs.
+func newOneServiceSite(bin string, rec *record, sync bool, ran func(id, who string, log []*commit)) (*site, *group, error) {
+	s, err := newSite(bin, corrimao, rec)
+	if err != nil {
+		return nil, nil, err
+	}
 	g := newGroup("huvo11a", groupKind{
-		sync: true, slots: 3, maxConns: 43, handshake: 12 * time.Millisecond, receive: 2 * time.Millisecond, apply: 60 * time.Millisecond, promote: time.Second,
+		sync: sync, slots: 3, maxConns: 43, handshake: 12 * time.Millisecond, receive: 2 * time.Millisecond, apply: 60 * time.Millisecond, promote: time.Second,
 	}, rec)
-	s.groups = []*group{g}
-	work, ran := uniform(5*time.Millisecond), func(id, who string, _ []*commit) { rec.add("%s is run, from %s", id, who) }
+	s.groups, s.ran = []*group{g}, ran
 	for i, z := range s.zones {
-		if _, err := g.addMember(fmt.Sprintf("i-%d", i+1), z, time.Now(), work, ran); err != nil {
-			return err
+		if _, err := s.addMember(fmt.Sprintf("i-%d", i+1), z, time.Now()); err != nil {
+			s.close()
+			return nil, nil, err
 		}
 	}
 	g.primary = g.members[0]
-	db := "lepu270"
-	if err := s.up([]route{{db: db, kind: "primary", service: g.name, timeoutMS: 800, goalMS: 150, prio: 1}}); err != nil {
-		return err
+	return s, g, nil
+}
+
+// addMember adds a member to the only service.
+func (s *site) addMember(id, zone string, receivesFrom time.Time) (*member, error) {
+	ran := s.ran
+	if ran == nil {
+		ran = func(id, who string, _ []*commit) { s.rec.add("%s is run, from %s", id, who) }
 	}
-	time.Sleep(4 * time.Second) // contact_ms
+	return s.groups[0].addMember(id, zone, receivesFrom, uniform(5*time.Millisecond), ran)
+}
 
-	w := &writers{s: s, db: db, acked: make(map[string]bool), stop: make(chan struct{})}
+const syncDB = "lepu270"
+
+// startWriters starts the installation, and requesters that write.
+func (s *site) startWriters() (*writers, error) {
+	if err := s.up([]route{{db: syncDB, kind: "primary", service: s.groups[0].name, timeoutMS: 800, goalMS: 150, prio: 1}}); err != nil {
+		return nil, err
+	}
+	time.Sleep(4 * time.Second) // contact_ms
+	w := &writers{s: s, db: syncDB, acked: make(map[string]bool), stop: make(chan struct{})}
 	for i := range 24 {
 		w.wg.Add(1)
 		go w.run(i)
 	}
 	time.Sleep(2 * time.Second)
-	if trouble {
-		s.cutPrimary(g.members[0], cutLength)
-	}
-	time.Sleep(1500 * time.Millisecond)
-	// Planned work: a replica is replaced. The new member starts first, then the old one drains. The
-	// new one receives from the acknowledgement of its first heartbeat on.
-	m, err := g.addMember("i-4", g.members[2].zone, time.Now().Add(time.Hour), work, ran)
+	return w, nil
+}
+
+// replaceMember starts a new member, which receives from the acknowledgement of its first heartbeat on.
+// Then the old one drains.
+func (s *site) replaceMember(old *member, id string) error {
+	m, err := s.addMember(id, old.zone, time.Now().Add(time.Hour))
 	if err != nil {
 		return err
 	}
-	rec.add("replacement of %s begins: %s starts", g.members[2].id, m.id)
+	s.rec.add("replacement of %s begins: %s starts", old.id, m.id)
 	m.firstAck = func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
+		m.g.mu.Lock()
+		defer m.g.mu.Unlock()
 		m.receivesFrom = time.Now()
-		rec.add("the first heartbeat of %s was acknowledged; it receives from now on", m.id)
+		s.rec.add("the first heartbeat of %s was acknowledged; it receives from now on", m.id)
 	}
 	go s.beat(m)
-	time.Sleep(2 * time.Second)
-	g.mu.Lock()
-	g.members[2].draining = true
-	g.mu.Unlock()
-	g.members[2].announce()
-	rec.add("%s is draining", g.members[2].id)
-	time.Sleep(8 * time.Second)
-	close(w.stop)
-	w.wg.Wait()
-
-	return w.judge(g)
-}
-
-// judge checks the rule LOST.
-func (w *writers) judge(g *group) error {
-	acked, lost := 0, 0
-	g.mu.Lock()
-	for id := range w.acked {
-		acked++
-		if member := g.lost[id]; member != "" {
-			lost++
-			w.s.rec.violation("LOST: write %s was acknowledged to its requester and is not in the log of %s, which was promoted", id, member)
-		}
-	}
-	leads := g.primary != nil
-	g.mu.Unlock()
-	w.s.rec.add("%d writes acknowledged, %d of them lost", acked, lost)
-	for _, p := range w.s.core {
-		w.s.logLines(p, "primary does not answer", "stop receiving until a promotion", "member that received most", "promotion ordered", "promotion was accepted", "receive again")
-	}
-	if acked < 100 || !leads {
-		return fmt.Errorf("only %d writes were acknowledged, or there is no primary", acked)
+	time.Sleep(newFirst)
+	drained := make(chan struct{})
+	old.g.mu.Lock()
+	old.draining, old.drainAck = true, func() { close(drained) }
+	old.g.mu.Unlock()
+	old.announce()
+	select {
+	case <-drained:
+	case <-time.After(3 * time.Second):
+		return fmt.Errorf("the draining of %s was not acknowledged", old.id)
 	}
+	s.rec.add("%s is draining, which was acknowledged", old.id)
 	return nil
 }
 
 // cutPrimary cuts a member off from control and from cutFronts entries for a time.
 func (s *site) cutPrimary(m *member, length time.Duration) {
-	cut := []string{}
+	var cut []string
 	for _, p := range s.core {
 		cut = append(cut, p.name)
 	}
@@ -182,3 +206,26 @@
 		}
 	}
 }
+
+// judge checks the rule LOST.
+func (w *writers) judge(g *group) error {
+	acked, lost := 0, 0
+	g.mu.Lock()
+	for id := range w.acked {
+		acked++
+		if member := g.lost[id]; member != "" {
+			lost++
+			w.s.rec.violation("LOST: write %s was acknowledged to its requester and is not in the log of %s, which was promoted", id, member)
+		}
+	}
+	leads := g.primary != nil
+	g.mu.Unlock()
+	w.s.rec.add("%d writes acknowledged, %d of them lost", acked, lost)
+	for _, p := range w.s.core {
+		w.s.logLines(p, "primary does not answer", "stop receiving until a promotion", "member that received most", "promotion ordered", "promotion was accepted", "receive again")
+	}
+	if acked < 100 || !leads {
+		return fmt.Errorf("only %d writes were acknowledged, or there is no primary", acked)
+	}
+	return nil
+}
--- a/review/stand2/returning.go
+++ b/review/stand2/returning.go
@@ -72,15 +72,18 @@
 
 // splitPrimary cuts a member off from control, from cutFronts entries and from the other members.
 func (s *site) splitPrimary(m *member) {
-	setIsolated := func(v bool) {
+	setCut := func(members ...*member) {
 		m.g.mu.Lock()
 		defer m.g.mu.Unlock()
-		m.isolated = v
+		m.cutFrom = make(map[*member]bool)
+		for _, other := range members {
+			m.cutFrom[other] = true
+		}
 	}
 	s.rec.add("%s is cut off from the other members too", m.id)
-	setIsolated(true)
+	setCut(slices.Clone(m.g.members)...)
 	s.cutPrimary(m, splitLength)
-	time.AfterFunc(splitLength, func() { setIsolated(false) })
+	time.AfterFunc(splitLength, func() { setCut() })
 }
 
 // setDeaf makes all members but the primary receive nothing, or receive again.
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -38,6 +38,7 @@
 	core     []*proc
 	front    []*proc
 	groups   []*group
+	ran      func(id, who string, log []*commit)
 	promote  *http.Server
 	address  string // of the platform
 	ctx      context.Context
@@ -282,10 +283,7 @@
 			}
 			c := s.core[next%len(s.core)]
 			if code, _ := call(client, "POST", "http://"+c.ip+":"+strconv.Itoa(portControl)+"/api/instances/"+m.id+"/heartbeat", body); code == 200 {
-				if m.firstAck != nil {
-					m.firstAck()
-					m.firstAck = nil
-				}
+				m.acknowledged(state == "draining")
 				break
 			}
 			next++
@@ -299,6 +297,23 @@
 	}
 }
 
+// acknowledged reports the first acknowledgements of a heartbeat.
+func (m *member) acknowledged(draining bool) {
+	m.g.mu.Lock()
+	first, drain := m.firstAck, m.drainAck
+	m.firstAck = nil
+	if draining {
+		m.drainAck = nil
+	}
+	m.g.mu.Unlock()
+	if first != nil {
+		first()
+	}
+	if draining && drain != nil {
+		drain()
+	}
+}
+
 // call makes an HTTP call with a JSON body. The code is 0 if there is no answer.
 func call(client *http.Client, method, url string, body any) (code int, answer []byte) {
 	data, err := json.Marshal(body)
