--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review2
-go build -o target/review2/stand ./review/stand2
+cd review/stand2
+go vet .
+go build -o ../../target/review2/stand .
