--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/tamarackcross ] && [ -x target/review2/stand ] || { echo "build first: the build of the deploy file, then review/build-2.sh"; exit 2; }
-exec timeout -k 5 110 target/review2/stand --case resume --record review/9/record.txt
+exec timeout -k 5 110 target/review2/stand --case drain --record review/9/record.txt
--- a/review/stand2/group.go
+++ b/review/stand2/group.go
@@ -30,11 +30,9 @@
 	term    int
 	log     []*commit // of the primary
 	members []*member
-	primary *member // nil from a step-down until the next promotion
-	token   int     // newest fencing token that was seen
-	// late returns after which time an order is carried out, without an answer; 0 means at once.
-	late func(m *member, order string) time.Duration
-	lost map[string]string // acknowledged writes that a promotion discarded, with the promoted member
+	primary *member           // nil from a step-down until the next promotion
+	token   int               // newest fencing token that was seen
+	lost    map[string]string // acknowledged writes that a promotion discarded, with the promoted member
 }
 
 // groupKind holds the figures of a service, as a site file has them.
@@ -72,7 +70,7 @@
 		return
 	}
 	if g.receives(m) {
-		limit := time.Now().Add(-g.kind.receive - m.farther)
+		limit := time.Now().Add(-g.kind.receive)
 		for m.held < len(g.log) && !g.log[m.held].at.After(limit) {
 			m.held++
 		}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -22,8 +22,8 @@
 	"newcomer":  playNewcomer,
 	"returning": playReturning,
 	"drain":     playDrain,
-	"resume":    playResume,
 	"leaving":   playLeaving,
+	"removed":   playRemoved,
 }
 
 func main() {
--- a/review/stand2/member.go
+++ b/review/stand2/member.go
@@ -32,7 +32,6 @@
 	receivesFrom time.Time        // it receives nothing before
 	held, shown  int              // commits of the log of the group that it has received, and applied
 	branch       []*commit        // its own log, if a promotion has discarded a part of it and it does not know yet
-	farther      time.Duration    // how much later than others it receives a commit
 	deaf         bool             // it receives nothing
 	cutFrom      map[*member]bool // members that it does not reach
 	pausedTerm   int              // 0 if it receives
@@ -161,9 +160,6 @@
 			return
 		}
 		line = strings.TrimSuffix(line, "\r\n")
-		if c.isLate(line) {
-			continue
-		}
 		out := c.answer(line)
 		if out == "" {
 			return
@@ -180,29 +176,6 @@
 	return c.m.down
 }
 
-// isLate reports whether an order gets no answer. It is carried out later then.
-func (c *memberConn) isLate(line string) bool {
-	g := c.m.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	text, ok := strings.CutPrefix(line, "QUERY - ")
-	word, _, _ := strings.Cut(text, " ")
-	if !ok || g.late == nil || word != "PAUSE" && word != "RESUME" && word != "STEPDOWN" {
-		return false
-	}
-	delay := g.late(c.m, word)
-	if delay == 0 {
-		return false
-	}
-	g.rec.add("%s at member %s by %s gets no answer; it is carried out %v later", text, c.m.id, c.who, delay)
-	time.AfterFunc(delay, func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		c.status(strings.Split(text, " "))
-	})
-	return true
-}
-
 // ready returns the READY message. The caller holds the lock of the group.
 func (c *memberConn) ready() string {
 	state := "I"
--- a/review/stand2/record.go
+++ b/review/stand2/record.go
@@ -14,7 +14,6 @@
 	mu         sync.Mutex
 	f          *os.File
 	violations []string
-	counts     map[string]int
 }
 
 func newRecord(path string) (*record, error) {
@@ -22,7 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{start: time.Now(), f: f, counts: make(map[string]int)}, nil
+	return &record{start: time.Now(), f: f}, nil
 }
 
 // add writes a line with the time since the start.
@@ -36,13 +35,6 @@
 	_, _ = fmt.Fprintf(r.f, "%9.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// count counts an event that has no line of its own.
-func (r *record) count(name string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.counts[name]++
-}
-
 // violation records a broken rule.
 func (r *record) violation(format string, args ...any) {
 	r.mu.Lock()
@@ -52,11 +44,10 @@
 	r.write("BROKEN: %s", text)
 }
 
-// close writes the counts and returns the number of violations.
+// close ends the record and returns the number of violations.
 func (r *record) close() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.write("counts: %v", r.counts)
 	r.write("violations: %d", len(r.violations))
 	_ = r.f.Close()
 	return len(r.violations)
--- a/review/stand2/requester.go
+++ b/review/stand2/requester.go
@@ -43,19 +43,6 @@
 	err               error
 }
 
-// promises reports whether the answer promises that nothing is kept.
-func (a answer) promises() bool {
-	if a.word != "FAULT" {
-		return false
-	}
-	code, _, _ := strings.Cut(a.rest, " ")
-	switch code {
-	case "BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "MAXCONN":
-		return true
-	}
-	return false
-}
-
 // query sends a statement and waits for its answer.
 func (q *requester) query(id, text string, limit time.Duration) answer {
 	_ = q.nc.SetDeadline(time.Now().Add(limit))
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -53,7 +53,6 @@
 	region string
 	zones  []string
 	fronts []int // for each zone
-	class  string
 	heart  time.Duration
 }
 
@@ -334,6 +333,20 @@
 	return resp.StatusCode, answer
 }
 
+// newClient returns a client that waits a second for an answer.
+func newClient() *http.Client { return &http.Client{Timeout: time.Second} }
+
+// versionOf returns the version of a configuration, or 0.
+func versionOf(body []byte) int {
+	var doc struct {
+		Version int `json:"version"`
+	}
+	if json.Unmarshal(body, &doc) != nil {
+		return 0
+	}
+	return doc.Version
+}
+
 // route is a route of the configuration.
 type route struct {
 	db, kind, service string
