host: answers of members are logged with their terms

The line on the choice of a successor named positions only, so that a log of a discarded branch could not be told from one that missed a promotion. Members do not know where terms began; control has to.

--- a/host/duty.go
+++ b/host/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -198,9 +199,9 @@
 	case st.Err != nil:
 		return st.Err.Error()
 	case st.Primary:
-		return "primary, received " + st.Received.String()
+		return fmt.Sprintf("primary of term %d, received %s", st.Term, st.Received)
 	default:
-		return "received " + st.Received.String()
+		return fmt.Sprintf("replica in term %d, received %s", st.Term, st.Received)
 	}
 }
 
