duty, ledger: a log that an earlier promotion discarded is not promoted

Cause: the successor was chosen by term and number alone. A log of an earlier term that goes beyond the start of a later one was cut off there, but counts as the longest.

Change: the control log keeps where the terms of a service started, between what the target held when it was ordered and what it answers once it leads. Logs beyond are not promoted; of logs in between the shortest is, if none is certain. A planned replacement and the target of an open order follow the same rule. An order names the position.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -39,7 +39,10 @@
 		Instances    int    // instances that probe the members
 		SyncReplicas int    // replicas that hold a commit when it is acknowledged
 		Ordered      string // member that the newest promotion order names, or empty
-		Appointed    string // the same where successions overlap, otherwise empty
+		// Held is a position that Ordered held when that order was decided, or zero.
+		Held      group.Position
+		Starts    group.Starts // where terms started, as far as it was recorded
+		Appointed string       // the same where successions overlap, otherwise empty
 		// MayPromote and Reassert matter only where successions overlap. MayPromote means that
 		// no instance relies on the primary any more. Reassert means that an open order for
 		// another member may have been carried out, so that the appointed one must be promoted
@@ -98,8 +101,14 @@
 	}
 	// Resume makes a paused replica receive again.
 	Resume struct{ ID string }
-	// IssueToken requests a fencing token from the control log.
-	IssueToken struct{ Target string }
+	// IssueToken requests a fencing token from the control log. Held is a position that the target
+	// holds, or zero.
+	IssueToken struct {
+		Target string
+		Held   group.Position
+	}
+	// RecordTerm requests that the control log keeps where a term started. It has no outcome.
+	RecordTerm struct{ Start group.StartRange }
 	// Promote sends the promotion order with its fencing token to the platform.
 	Promote struct {
 		Target string
@@ -126,6 +135,7 @@
 func (Pause) action()      {}
 func (Resume) action()     {}
 func (IssueToken) action() {}
+func (RecordTerm) action() {}
 func (Promote) action()    {}
 func (Recall) action()     {}
 func (Restore) action()    {}
@@ -199,8 +209,10 @@
 	requiredPosition group.Position // position that the successor must hold
 	statusAskedAt    time.Time
 	stepDownAttempts int
+	held             group.Position // position that the target held when it was asked last, or zero
 	overlap          overlap
 	pauses           pauses
+	terms            terms
 }
 
 // Option configures a Supervisor.
@@ -281,12 +293,15 @@
 	case issuingToken, promoting:
 		return s.pauseNewcomers()
 	case activating:
-		if m, ok := s.member(s.target); ok && m.Primary || now.Sub(s.phaseSince) >= activationTimeout {
-			s.enterPhase(watching, now)
-			s.notBefore = now.Add(retryDelay)
-			return nil
+		m, _ := s.member(s.target)
+		if !m.Primary && now.Sub(s.phaseSince) < activationTimeout {
+			return s.pauseNewcomers()
+		}
+		s.enterPhase(watching, now)
+		s.notBefore = now.Add(retryDelay)
+		if m.Primary {
+			return s.observeTerm(m, now)
 		}
-		return s.pauseNewcomers()
 	}
 	return nil
 }
@@ -323,8 +338,7 @@
 		case m.Draining:
 			draining, announced = m.ID, true
 		default:
-			s.noPrimarySince, s.plannedSince = time.Time{}, time.Time{}
-			return s.keepReceiving(m.ID, now)
+			return s.onWorkingPrimary(m, now)
 		}
 	}
 	switch {
@@ -340,6 +354,12 @@
 	return nil
 }
 
+// onWorkingPrimary handles a primary that needs no replacement.
+func (s *Supervisor) onWorkingPrimary(m Member, now time.Time) []Action {
+	s.noPrimarySince, s.plannedSince, s.terms.unclearSince = time.Time{}, time.Time{}, time.Time{}
+	return append(s.observeTerm(m, now), s.keepReceiving(m.ID, now)...)
+}
+
 // askStatuses starts the replacement of a primary by requesting the status of all
 // members.
 func (s *Supervisor) askStatuses(primary string, planned bool, now time.Time) []Action {
@@ -398,24 +418,26 @@
 
 // chooseTarget starts to make the successor the primary.
 func (s *Supervisor) chooseTarget(now time.Time) []Action {
-	best, found := s.successor()
+	best, found := s.successor(now)
 	if !found {
-		return s.retryLater(now)
+		return append(s.noteDiscarded(), s.retryLater(now)...)
 	}
 	s.target = s.preferAppointed(best)
 	if !s.overlap.enabled {
 		s.target = s.preferOrdered(best)
 	}
+	s.held = s.statuses[s.target].Received
 	if s.planned {
 		return s.maybeStepDown(best, now)
 	}
 	return append(s.release(now), Note{Text: "member that received most is promoted", Member: s.target, Statuses: s.sortedStatuses()})
 }
 
-// successor returns the status of the member that received most. If commits wait for
+// successor returns the status of the member that received most, leaving out logs whose end an
+// earlier promotion discarded. If commits wait for
 // replicas and the primary does not take part, every replica must have answered: any of
 // them may hold an acknowledged commit that the others lack.
-func (s *Supervisor) successor() (best Status, found bool) {
+func (s *Supervisor) successor(now time.Time) (best Status, found bool) {
 	for _, m := range s.view.Members {
 		st, answered := s.statuses[m.ID]
 		if m.ID == s.oldPrimary {
@@ -433,14 +455,14 @@
 		if st.Primary && !s.planned {
 			return Status{}, false // another member is the primary already and will announce it
 		}
-		if s.failing(m) || s.planned && m.Draining {
+		if s.failing(m) || s.planned && m.Draining || s.stateOf(st.Received) == group.Discarded {
 			continue
 		}
-		if !found || best.Received.Less(st.Received) || !m.Draining && best.Received == st.Received {
+		if !found || s.precedes(st.Received, best.Received) || !m.Draining && best.Received == st.Received {
 			best, found = st, true
 		}
 	}
-	return best, found
+	return best, found && !s.awaitClearLog(best, now)
 }
 
 // sortedStatuses returns the answers of the members in the order of their IDs.
@@ -466,7 +488,7 @@
 	if s.plannedSince.IsZero() {
 		s.plannedSince = now
 	}
-	gap := old.Received.Offset - min(best.Received.Offset, old.Received.Offset)
+	gap := old.Received.Offset - min(s.starts().Clip(best.Received).Offset, old.Received.Offset)
 	if gap > maxStepDownGap && len(s.pauses.replicas) == 0 && now.Sub(s.plannedSince) < maxStepDownDelay {
 		return s.retryLater(now)
 	}
@@ -484,6 +506,11 @@
 
 func (s *Supervisor) onStatus(st Status, now time.Time) []Action {
 	s.recordPause(st)
+	return append(s.recordTerm(st), s.advance(st, now)...)
+}
+
+// advance goes on with the replacement in progress after a member has answered.
+func (s *Supervisor) advance(st Status, now time.Time) []Action {
 	switch s.phase {
 	case collectingStatus:
 		s.statuses[st.ID] = st
@@ -501,6 +528,7 @@
 		}
 	case catchingUp:
 		if st.ID == s.target && st.Err == nil && !st.Received.Less(s.requiredPosition) {
+			s.held = st.Received
 			return s.issueToken(now)
 		}
 	}
@@ -528,7 +556,8 @@
 
 func (s *Supervisor) issueToken(now time.Time) []Action {
 	s.enterPhase(issuingToken, now)
-	return []Action{IssueToken{Target: s.target}}
+	s.terms.primary = "" // the next term has to be recorded, whoever leads it
+	return []Action{IssueToken{Target: s.target, Held: s.held}}
 }
 
 func (s *Supervisor) onTokenResult(e TokenResult, now time.Time) []Action {
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -79,6 +79,8 @@
 		return "resume " + a.ID
 	case duty.IssueToken:
 		return "issue token for " + a.Target
+	case duty.RecordTerm:
+		return fmt.Sprintf("record that term %d started at %d to %d", a.Start.Term, a.Start.Least, a.Start.Most)
 	case duty.Promote:
 		return fmt.Sprintf("promote %s with token %d", a.Target, a.Token)
 	case duty.Recall:
@@ -108,6 +110,16 @@
 	if d.HasArg("ordered") {
 		d.ScanArgs(t, "ordered", &view.Ordered)
 	}
+	if d.HasArg("held") {
+		var held string
+		d.ScanArgs(t, "held", &held)
+		view.Held = parsePosition(t, held)
+	}
+	if d.HasArg("starts") {
+		var starts string
+		d.ScanArgs(t, "starts", &starts)
+		view.Starts = parseStarts(t, starts)
+	}
 	view.MayPromote, view.Reassert = d.HasArg("released"), d.HasArg("reassert")
 	for line := range strings.SplitSeq(d.Input, "\n") {
 		f := strings.Fields(line)
@@ -148,16 +160,32 @@
 		case "paused":
 			st.PausedTerm = uint64(parseInt(t, value))
 		case "received":
-			p, err := group.ParsePosition(value)
-			if err != nil {
-				t.Fatal(err)
-			}
-			st.Received = p
+			st.Received = parsePosition(t, value)
 		}
 	}
 	return st
 }
 
+func parsePosition(t *testing.T, text string) group.Position {
+	t.Helper()
+	p, err := group.ParsePosition(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// parseStarts reads "TERM@LEAST-MOST" fields that are separated by semicolons.
+func parseStarts(t *testing.T, text string) (out group.Starts) {
+	t.Helper()
+	for field := range strings.SplitSeq(text, ";") {
+		term, offsets, _ := strings.Cut(field, "@")
+		least, most, _ := strings.Cut(offsets, "-")
+		out = out.With(group.StartRange{Term: uint64(parseInt(t, term)), Least: uint64(parseInt(t, least)), Most: uint64(parseInt(t, most))})
+	}
+	return out
+}
+
 func parseInt(t *testing.T, text string) int {
 	t.Helper()
 	n, err := strconv.Atoi(text)
--- a/duty/overlap.go
+++ b/duty/overlap.go
@@ -1,6 +1,10 @@
 package duty
 
-import "time"
+import (
+	"time"
+
+	"tamarackcross/group"
+)
 
 // Succession tells what a promotion does to the former primary.
 type Succession uint8
@@ -88,7 +92,7 @@
 		return best.ID
 	}
 	m, listed := s.member(s.view.Appointed)
-	if st, answered := s.statuses[s.view.Appointed]; listed && answered && st.Err == nil && !st.Primary && !m.Draining && !s.failing(m) {
+	if st, answered := s.statuses[s.view.Appointed]; listed && answered && st.Err == nil && !st.Primary && !m.Draining && !s.failing(m) && s.stateOf(st.Received) == group.Kept {
 		return s.view.Appointed
 	}
 	return best.ID
@@ -105,11 +109,10 @@
 	case listed && m.Primary && m.Draining:
 		return append(out, s.askStatuses(m.ID, true, now)...)
 	case listed && m.Primary && s.view.Reassert:
-		s.target = m.ID
+		s.target, s.held = m.ID, group.Position{}
 		return append(out, s.issueToken(now)...)
 	case listed && m.Primary:
-		s.noPrimarySince, s.plannedSince = time.Time{}, time.Time{}
-		return append(out, s.keepReceiving(m.ID, now)...)
+		return append(out, s.onWorkingPrimary(m, now)...)
 	case s.noPrimarySince.IsZero():
 		s.noPrimarySince = now
 	case now.Sub(s.noPrimarySince) >= reorderDelay:
--- a/duty/pause.go
+++ b/duty/pause.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"tamarackcross/group"
 )
 
 // Where commits wait for replicas, the old primary goes on to acknowledge commits until a promotion
@@ -31,8 +33,8 @@
 
 // pauseReplicas makes all members but the old primary stop receiving. All must have answered.
 func (s *Supervisor) pauseReplicas(now time.Time) []Action {
-	if _, ok := s.successor(); !ok {
-		return s.retryLater(now)
+	if _, ok := s.successor(now); !ok {
+		return append(s.noteDiscarded(), s.retryLater(now)...)
 	}
 	s.pauses.term = 0
 	for _, st := range s.statuses {
@@ -166,7 +168,7 @@
 	st, answered := s.statuses[ordered]
 	m, listed := s.member(ordered)
 	switch {
-	case !s.synced() || !listed || !answered || st.Err != nil || st.Primary || m.Draining || s.failing(m):
+	case !s.synced() || !listed || !answered || st.Err != nil || st.Primary || m.Draining || s.failing(m) || s.stateOf(st.Received) != group.Kept:
 		return best.ID
 	case !s.planned && st.Received.Less(best.Received):
 		return best.ID
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -15,6 +15,7 @@
 func TestPositions(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var h group.History
+		var starts group.Starts
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
 			for line := range strings.SplitSeq(d.Input, "\n") {
@@ -31,6 +32,15 @@
 					fmt.Fprintf(&out, "%s %v\n", line, h.CoversTermStart(position(t, line)))
 				case "clip":
 					fmt.Fprintf(&out, "%s -> %s\n", line, h.Clip(position(t, line)))
+				case "start":
+					var r group.StartRange
+					if _, err := fmt.Sscanf(line, "%d %d %d", &r.Term, &r.Least, &r.Most); err != nil {
+						t.Fatal(err)
+					}
+					starts = starts.With(r)
+					fmt.Fprintf(&out, "%v\n", starts)
+				case "kept":
+					fmt.Fprintf(&out, "%s %s, certain to %s\n", line, starts.StateOf(position(t, line)), starts.Clip(position(t, line)))
 				case "less":
 					a, b, _ := strings.Cut(line, " ")
 					fmt.Fprintf(&out, "%s %v\n", line, position(t, a).Less(position(t, b)))
--- a/host/duty.go
+++ b/host/duty.go
@@ -12,6 +12,7 @@
 
 	"tamarackcross/duty"
 	"tamarackcross/event"
+	"tamarackcross/group"
 	"tamarackcross/ledger"
 	"tamarackcross/proxy"
 	"tamarackcross/raft"
@@ -136,7 +137,7 @@
 		}
 		view := duty.View{Instances: health.probing[name], SyncReplicas: cfg.SyncReplicas}
 		order, _ := s.c.ledger.PromotionOrder(name)
-		view.Ordered = order.Target
+		view.Ordered, view.Held, view.Starts = order.Target, order.Held, s.c.ledger.Starts(name)
 		if s.c.giver != nil {
 			view.Appointed, view.MayPromote, view.Reassert = order.Target, s.c.giver.mayPromote(name, ""), s.c.giver.mustReassert(name)
 		}
@@ -164,7 +165,9 @@
 		case duty.Resume:
 			s.runAction(service, func() duty.Event { return s.resume(ctx, service, a.ID) })
 		case duty.IssueToken:
-			s.runAction(service, func() duty.Event { return s.issueToken(ctx, service, a.Target) })
+			s.runAction(service, func() duty.Event { return s.issueToken(ctx, service, a) })
+		case duty.RecordTerm:
+			s.wg.Go(func() { s.recordTerm(ctx, service, a.Start) })
 		case duty.Promote:
 			s.runAction(service, func() duty.Event { return s.promote(ctx, service, a) })
 		case duty.Recall:
@@ -281,15 +284,15 @@
 
 // issueToken commits a promotion order, whose log index is the fencing token. Only the leader
 // that committed the order uses the token.
-func (s *supervision) issueToken(ctx context.Context, service, target string) duty.Event {
+func (s *supervision) issueToken(ctx context.Context, service string, a duty.IssueToken) duty.Event {
 	ctx, stop := context.WithTimeout(ctx, tokenTimeout)
 	defer stop()
-	out := duty.TokenResult{Target: target}
-	if s.c.giver != nil && !s.c.giver.mayPromote(service, target) {
+	out := duty.TokenResult{Target: a.Target}
+	if s.c.giver != nil && !s.c.giver.mayPromote(service, a.Target) {
 		out.Err = errReliedOn
 		return out
 	}
-	cmd, err := ledger.Encode(ledger.OrderPromotion{Service: service, Target: target, Track: s.c.giver != nil})
+	cmd, err := ledger.Encode(ledger.OrderPromotion{Service: service, Target: a.Target, Track: s.c.giver != nil, Held: a.Held})
 	if err != nil {
 		out.Err = err
 		return out
@@ -306,11 +309,23 @@
 	}
 	out.Token = order.Token
 	if s.c.giver != nil {
-		s.c.giver.recordOrder(service, target, order.Token)
+		s.c.giver.recordOrder(service, a.Target, order.Token)
 	}
 	return out
 }
 
+// recordTerm commits where a term started. If that fails, the supervisor requests it again.
+func (s *supervision) recordTerm(ctx context.Context, service string, start group.StartRange) {
+	ctx, stop := context.WithTimeout(ctx, tokenTimeout)
+	defer stop()
+	cmd, err := ledger.Encode(ledger.RecordTerm{Service: service, Start: start})
+	if err == nil {
+		_, err = s.c.node.ProposeData(ctx, cmd)
+	}
+	s.log.Info().Err(err).Str("service", service).Uint64("term", start.Term).Uint64("least", start.Least).Uint64("most", start.Most).
+		Msg("start of a term recorded; logs of earlier terms beyond it are not promoted")
+}
+
 var errReliedOn = eris.New("instances may still rely on the former primary")
 
 // leaderValidity is how old the last confirmation of a leader may be when it sends an order. No
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,6 +1,7 @@
 // Package ledger implements the state machine to which the control instances
 // apply their replicated log on a hosted platform. It holds the latest
-// configuration and the latest promotion order of each service.
+// configuration and the latest promotion order of each service, and where its terms
+// started.
 package ledger
 
 import (
@@ -11,9 +12,11 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"tamarackcross/group"
 )
 
-// Command is a change of the ledger: PutConfig, OrderPromotion, CloseOrders, OpenCaps or SettleCaps.
+// Command is a change of the ledger: PutConfig, OrderPromotion, RecordTerm, CloseOrders, OpenCaps or SettleCaps.
 type Command interface{ command() }
 
 // PutConfig stores a configuration if its version is higher than the version in
@@ -30,6 +33,15 @@
 	Service string
 	Target  string
 	Track   bool `json:",omitempty"`
+	// Held is a position that Target held when the order was decided, or zero. The term that the
+	// order begins starts there or beyond.
+	Held group.Position `json:",omitzero"`
+}
+
+// RecordTerm records where a term of Service started.
+type RecordTerm struct {
+	Service string
+	Start   group.StartRange
 }
 
 // CloseOrders records that the platform will not carry out the orders of Service with these
@@ -48,6 +60,7 @@
 
 func (PutConfig) command()      {}
 func (OrderPromotion) command() {}
+func (RecordTerm) command()     {}
 func (CloseOrders) command()    {}
 func (OpenCaps) command()       {}
 func (SettleCaps) command()     {}
@@ -66,6 +79,9 @@
 // are unique and later orders have higher ones.
 type PromotionResult struct{ Token uint64 }
 
+// TermRecorded is the result of RecordTerm.
+type TermRecorded struct{}
+
 // OrdersClosed is the result of CloseOrders.
 type OrdersClosed struct{}
 
@@ -84,6 +100,7 @@
 
 func (ConfigResult) result()    {}
 func (PromotionResult) result() {}
+func (TermRecorded) result()    {}
 func (OrdersClosed) result()    {}
 func (CapsOpened) result()      {}
 func (CapsSettled) result()     {}
@@ -99,8 +116,9 @@
 type PromotionOrder struct {
 	Target string
 	Token  uint64
-	Epoch  uint64      // token of the first of the latest orders that all named Target
-	Open   []OpenOrder // tracked orders that are not closed, this one among them
+	Epoch  uint64         // token of the first of the latest orders that all named Target
+	Open   []OpenOrder    // tracked orders that are not closed, this one among them
+	Held   group.Position `json:",omitzero"` // of Target when the order was decided, or zero
 }
 
 // OpenOrder is an order that the platform may still carry out.
@@ -120,7 +138,8 @@
 type snapshotState struct {
 	Config Config
 	Orders map[string]PromotionOrder
-	Caps   capsState `json:",omitzero"`
+	Starts map[string]group.Starts `json:",omitempty"` // of the terms of each service
+	Caps   capsState               `json:",omitzero"`
 }
 
 // capsState is what is known of the owners of the caps of customers.
@@ -134,6 +153,7 @@
 type record struct {
 	Config *PutConfig      `json:",omitempty"`
 	Order  *OrderPromotion `json:",omitempty"`
+	Term   *RecordTerm     `json:",omitempty"`
 	Close  *CloseOrders    `json:",omitempty"`
 	Open   *OpenCaps       `json:",omitempty"`
 	Settle *SettleCaps     `json:",omitempty"`
@@ -151,6 +171,8 @@
 		return json.Marshal(record{Config: &c})
 	case OrderPromotion:
 		return json.Marshal(record{Order: &c})
+	case RecordTerm:
+		return json.Marshal(record{Term: &c})
 	case CloseOrders:
 		return json.Marshal(record{Close: &c})
 	case OpenCaps:
@@ -176,6 +198,8 @@
 		return l.storeConfig(*r.Config)
 	case r.Order != nil:
 		return l.recordOrder(*r.Order, index)
+	case r.Term != nil:
+		return l.recordTerm(*r.Term)
 	case r.Close != nil:
 		return l.closeOrders(*r.Close)
 	case r.Open != nil:
@@ -197,7 +221,7 @@
 
 func (l *Ledger) recordOrder(c OrderPromotion, token uint64) Result {
 	old := l.state.Orders[c.Service]
-	next := PromotionOrder{Target: c.Target, Token: token, Epoch: token, Open: slices.Clone(old.Open)}
+	next := PromotionOrder{Target: c.Target, Token: token, Epoch: token, Open: slices.Clone(old.Open), Held: c.Held}
 	if old.Target == c.Target {
 		next.Epoch = cmp.Or(old.Epoch, old.Token) // entries of earlier builds have no epoch
 	}
@@ -208,6 +232,14 @@
 	return PromotionResult{Token: token}
 }
 
+func (l *Ledger) recordTerm(c RecordTerm) Result {
+	if l.state.Starts == nil {
+		l.state.Starts = make(map[string]group.Starts)
+	}
+	l.state.Starts[c.Service] = l.state.Starts[c.Service].With(c.Start)
+	return TermRecorded{}
+}
+
 func (l *Ledger) closeOrders(c CloseOrders) Result {
 	o := l.state.Orders[c.Service]
 	o.Open = slices.DeleteFunc(slices.Clone(o.Open), func(e OpenOrder) bool { return slices.Contains(c.Tokens, e.Token) })
@@ -257,6 +289,13 @@
 	return o, ok
 }
 
+// Starts returns where the terms of a service started, as far as it was recorded.
+func (l *Ledger) Starts(service string) group.Starts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Starts[service]
+}
+
 // Orders returns the latest promotion order of each service that has one.
 func (l *Ledger) Orders() map[string]PromotionOrder {
 	l.mu.Lock()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"tamarackcross/group"
 	"tamarackcross/ledger"
 )
 
@@ -86,6 +87,26 @@
 	}
 }
 
+// TestTermStarts guards against starts of terms that a restart from a snapshot, or a later leader, does
+// not know.
+func TestTermStarts(t *testing.T) {
+	l := ledger.New()
+	apply(t, l, 1, ledger.OrderPromotion{Service: "s", Target: "a", Held: group.Position{Term: 1, Offset: 8}})
+	apply(t, l, 2, ledger.RecordTerm{Service: "s", Start: group.StartRange{Term: 2, Least: 8, Most: 12}})
+	apply(t, l, 3, ledger.RecordTerm{Service: "s", Start: group.StartRange{Term: 2, Least: 0, Most: 9}})
+	apply(t, l, 4, ledger.RecordTerm{Service: "other", Start: group.StartRange{Term: 4, Least: 70, Most: 70}})
+	restored := ledger.New()
+	if err := restored.Restore(l.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(group.Starts{{Term: 2, Least: 8, Most: 9}}, restored.Starts("s")); diff != "" {
+		t.Error(diff)
+	}
+	if order, _ := restored.PromotionOrder("s"); order.Held != (group.Position{Term: 1, Offset: 8}) {
+		t.Errorf("the target of the order held %v", order.Held)
+	}
+}
+
 // TestUndecodableCommand guards against an undecodable log entry that is applied
 // or returns no result.
 func TestUndecodableCommand(t *testing.T) {
