ctrl: the first primary of a group that existed before is not chosen by a discarded log

The first term of a group that control takes over began at the newest position that a member reported, also if a promotion before had discarded it: commits that callers had lost would be back, and later ones of the newer term gone. Nobody has reported it.

Change: positions are cut to what the newest history among the members keeps, and the new term is above every term that a member knows, appended to that history.

Before: TestBootstrapWithDiscardedLog fails (term 2 starts at 123, the discarded end of m1); passes now. All tests of ctrl passed.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -68,8 +68,13 @@
 }
 
 // bootstrapCommand chooses the first primary: the existing primary of the highest
-// term, or else the member with the newest position.
+// term, or else the member with the newest position. The end of a log that a later term
+// discarded does not count.
 func bootstrapCommand(database string, members []state.Member, statuses []pgctl.Status) (state.BootstrapGroup, error) {
+	history := newestHistory(statuses)
+	for i := range statuses {
+		statuses[i].Held = history.Clip(statuses[i].Held)
+	}
 	chosen := slices.MaxFunc(statuses, func(a, b pgctl.Status) int {
 		if c := cmp.Compare(primaryTerm(a), primaryTerm(b)); c != 0 {
 			return c
@@ -79,11 +84,12 @@
 		}
 		return cmp.Compare(b.Member, a.Member)
 	})
-	history := chosen.History
-	if chosen.Role != pgctl.RolePrimary {
+	if chosen.Role == pgctl.RolePrimary {
+		history = chosen.History
+	} else {
 		var err error
-		start := group.TermStart{Term: max(chosen.Term, chosen.FencedTerm) + 1, Offset: chosen.Held.Offset}
-		if history, err = chosen.History.Append(start); err != nil {
+		start := group.TermStart{Term: max(highestTerm(statuses), history.Term()) + 1, Offset: chosen.Held.Offset}
+		if history, err = history.Append(start); err != nil {
 			return state.BootstrapGroup{}, err
 		}
 	}
@@ -94,6 +100,19 @@
 	return cmd, nil
 }
 
+// newestHistory returns the history that knows the newest term.
+func newestHistory(statuses []pgctl.Status) group.History {
+	return slices.MaxFunc(statuses, func(a, b pgctl.Status) int { return cmp.Compare(a.History.Term(), b.History.Term()) }).History
+}
+
+// highestTerm returns the highest term that a member knows.
+func highestTerm(statuses []pgctl.Status) (term uint64) {
+	for _, st := range statuses {
+		term = max(term, st.Term, st.FencedTerm)
+	}
+	return term
+}
+
 // primaryTerm returns the term of a primary and 0 for any other member.
 func primaryTerm(s pgctl.Status) uint64 {
 	if s.Role != pgctl.RolePrimary {
