roster, proxy: the grace of a leaving server counts from the acknowledgement

Cause: the entry counted the grace of 5 s from when it first heard of it; the roster passed on the state without its age. Evidence: the restarted entry of the case starts 4 s after the acknowledgement and sends its last request 5 s later.

Change: entries of the roster carry since when a server leaves, as an age on the way; the time of a call that was not held by control counts as time on the way, so that a frozen entry or a cut does not shorten it. Entries tell control instances that were started again. A request that waited in a queue beyond the grace is refused as not run. A leader of control counts maxStepDownDelay from the acknowledgement, too, not from its election.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -22,6 +22,8 @@
 	Born     int64 // identifies its start
 	Primary  bool  // it announces itself as the primary
 	Draining bool  // it is about to stop
+	// LeavingSince is when it was first acknowledged that it is about to stop; zero if it is not.
+	LeavingSince time.Time
 	// FailingInstances is the number of instances that have had no answer from it for at
 	// least FailureThreshold.
 	FailingInstances int
@@ -162,8 +164,8 @@
 	// asked to step down. It receives that many within a round trip.
 	maxStepDownGap = 20
 	// maxStepDownDelay is how long the primary is kept while no successor is within
-	// maxStepDownGap. It ends well before a draining backend server stops, which is
-	// after 7 s.
+	// maxStepDownGap, from when it was first acknowledged that it is draining, or from its promotion if
+	// that was later. It ends well before a draining backend server stops, which is after 7 s.
 	maxStepDownDelay = 3 * time.Second
 	// statusInterval is the time between status requests to a successor that is
 	// catching up.
@@ -200,7 +202,8 @@
 	phaseSince       time.Time
 	notBefore        time.Time // no replacement is started earlier
 	noPrimarySince   time.Time // when members were first seen without a primary
-	plannedSince     time.Time // when a planned replacement was first considered
+	plannedSince     time.Time // since when a planned replacement has been due
+	promotedAt       time.Time // when a member that this Supervisor promoted was first seen to lead
 	view             View
 	planned          bool   // the old primary is to step down first
 	oldPrimary       string // empty if no member announced itself as the primary
@@ -300,6 +303,7 @@
 		s.enterPhase(watching, now)
 		s.notBefore = now.Add(retryDelay)
 		if m.Primary {
+			s.promotedAt, s.plannedSince = now, time.Time{}
 			return s.observeTerm(m, now)
 		}
 	}
@@ -487,6 +491,9 @@
 	old := s.statuses[s.oldPrimary]
 	if s.plannedSince.IsZero() {
 		s.plannedSince = now
+		if m, ok := s.member(s.oldPrimary); ok && !m.LeavingSince.IsZero() {
+			s.plannedSince = laterOf(m.LeavingSince, s.promotedAt)
+		}
 	}
 	gap := old.Received.Offset - min(s.starts().Clip(best.Received).Offset, old.Received.Offset)
 	if gap > maxStepDownGap && len(s.pauses.replicas) == 0 && now.Sub(s.plannedSince) < maxStepDownDelay {
@@ -495,6 +502,13 @@
 	return s.stepDown(now)
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 func (s *Supervisor) stepDown(now time.Time) []Action {
 	s.stepDownAttempts++
 	s.enterPhase(steppingDown, now)
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -34,7 +34,7 @@
 			case "overlapping":
 				s = duty.New(now, duty.WithSuccession(duty.Overlapping))
 			case "members":
-				view = parseView(t, d)
+				view = parseView(t, d, now)
 			case "wait":
 				// The view is sent every 50 ms, as by the controller.
 				for n := parseInt(t, d.CmdArgs[0].Key); n > 0; n -= 50 {
@@ -96,8 +96,9 @@
 	}
 }
 
-// parseView reads lines such as "m1 primary draining failing=2".
-func parseView(t *testing.T, d *datadriven.TestData) duty.View {
+// parseView reads lines such as "m1 primary draining failing=2". leaving=1500 means that it was first
+// acknowledged 1,500 ms ago that the member is draining.
+func parseView(t *testing.T, d *datadriven.TestData, now time.Time) duty.View {
 	t.Helper()
 	view := duty.View{}
 	d.ScanArgs(t, "instances", &view.Instances)
@@ -130,6 +131,8 @@
 				m.Primary = true
 			case word == "draining":
 				m.Draining = true
+			case strings.HasPrefix(word, "leaving="):
+				m.Draining, m.LeavingSince = true, now.Add(-time.Duration(parseInt(t, strings.TrimPrefix(word, "leaving=")))*time.Millisecond)
 			case strings.HasPrefix(word, "born="):
 				m.Born = int64(parseInt(t, strings.TrimPrefix(word, "born=")))
 			case strings.HasPrefix(word, "failing="):
--- a/host/control.go
+++ b/host/control.go
@@ -72,7 +72,7 @@
 // StartControl opens the log in the data directory and starts the control role.
 func StartControl(s Settings, p ControlDeps) (*Controller, error) {
 	c := &Controller{
-		settings: s, deps: p, incarnation: rand.Uint64() | 1, ledger: ledger.New(), roster: roster.New(),
+		settings: s, deps: p, incarnation: rand.Uint64() | 1, ledger: ledger.New(), roster: roster.New(roster.WithStart(p.Now())),
 		reports: newReportTable(), leaderChanged: make(chan struct{}), ended: make(chan error, 3), served: make(chan error, servers), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -250,6 +250,21 @@
 // Sync replies with the version of the configuration and the roster entries that are newer
 // than those of the request. While there are none it waits, at most in.Wait.
 func (c *Controller) Sync(ctx context.Context, in *mesh.SyncRequest) (*mesh.SyncReply, error) {
+	arrived := c.deps.Now()
+	putChecked(c.roster, in.LeavingLonger, arrived, c.deps.Log)
+	reply, err := c.sync(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	now := c.deps.Now()
+	reply.HeldFor = now.Sub(arrived)
+	for i, e := range reply.RosterEntries {
+		reply.RosterEntries[i] = e.ForRelay(now)
+	}
+	return reply, nil
+}
+
+func (c *Controller) sync(ctx context.Context, in *mesh.SyncRequest) (*mesh.SyncReply, error) {
 	if in.Name != "" {
 		c.recordReport(in)
 	}
--- a/host/control_client.go
+++ b/host/control_client.go
@@ -10,6 +10,7 @@
 
 	"tamarackcross/event"
 	"tamarackcross/mesh"
+	"tamarackcross/roster"
 	"tamarackcross/stats"
 )
 
@@ -302,6 +303,7 @@
 	if err != nil {
 		return nil, err
 	}
+	addTransit(reply, c.now().Sub(askedAt))
 	c.mu.Lock()
 	leasesChanged := c.recordReply(cc, reply, askedAt)
 	c.mu.Unlock()
@@ -311,6 +313,17 @@
 	return reply, nil
 }
 
+// addTransit adds to the ages in a reply the time that it was under way, at most that of the whole call
+// without the time that the control instance held it. It includes a suspension of this instance.
+func addTransit(reply *mesh.SyncReply, took time.Duration) {
+	transit := max(0, took-max(0, reply.HeldFor))
+	for i := range reply.RosterEntries {
+		if e := &reply.RosterEntries[i]; e.State != roster.Ready {
+			e.LeavingFor += transit
+		}
+	}
+}
+
 // addLeaseRequest adds the request for leases, if this instance relies on primaries. The caller
 // holds c.mu.
 func (c *controlClients) addLeaseRequest(in *mesh.SyncRequest, cc *controlClient) {
--- a/host/duty.go
+++ b/host/duty.go
@@ -143,7 +143,7 @@
 		}
 		for _, e := range s.c.roster.Members(name) {
 			view.Members = append(view.Members, duty.Member{
-				ID: e.ID, Born: e.Born, Primary: e.Primary, Draining: e.State == roster.Draining, FailingInstances: health.failing[memberKey{name, e.ID}],
+				ID: e.ID, Born: e.Born, Primary: e.Primary, Draining: e.State == roster.Draining, LeavingSince: e.LeavingSince, FailingInstances: health.failing[memberKey{name, e.ID}],
 			})
 		}
 		s.runActions(ctx, name, sup.Step(view, now))
--- a/host/entry.go
+++ b/host/entry.go
@@ -46,6 +46,7 @@
 	config         *configFetcher
 	instanceCount  instanceCount
 	peers          peerMemory
+	leavingLonger  *leavingMemory
 	proofs         *proofClient
 	peerClient     *relay.Links
 	callerListener net.Listener
@@ -67,7 +68,7 @@
 	if p.Dial == nil {
 		p.Dial = mesh.Dial
 	}
-	e := &Entry{settings: s, deps: p, roster: roster.New(), ended: make(chan error, 3), served: make(chan error, servers)}
+	e := &Entry{settings: s, deps: p, roster: roster.New(), leavingLonger: newLeavingMemory(), ended: make(chan error, 3), served: make(chan error, servers)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.control = newControlClients("", s.Zone, p.Dial, p.Now, p.Log, p.Stats)
 	opts := []proxy.Option{
@@ -194,7 +195,7 @@
 	in := mesh.SyncRequest{
 		Name: e.settings.Name, Zone: e.settings.Zone, Serves: true,
 		ProbedServices: e.server.ProbedServices(), Addr: e.settings.PeerAddr, Leaving: e.leaving.Load(),
-		ConfigHeld: e.config.base.Load(), AllZones: e.server.ForwardsToAllZones(),
+		ConfigHeld: e.config.base.Load(), AllZones: e.server.ForwardsToAllZones(), LeavingLonger: e.leavingLonger.list(e.deps.Now()),
 	}
 	for _, t := range e.server.UnresponsiveMembers() {
 		in.UnresponsiveMembers = append(in.UnresponsiveMembers, mesh.UnresponsiveMember(t))
@@ -207,6 +208,7 @@
 func (e *Entry) applySync(addr string, r *mesh.SyncReply) {
 	now := e.deps.Now()
 	putChecked(e.roster, r.RosterEntries, now, e.deps.Log)
+	e.leavingLonger.compare(r.RosterEntries, e.roster, now)
 	e.server.SetInstanceCount(e.instanceCount.update(r.EntryCount, now))
 	if peers := e.control.peers(); len(peers) > 0 {
 		if e.server.ForwardsToAllZones() {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -65,6 +65,7 @@
 	Gathered            *Gathered            `json:",omitempty"` // set by control instances
 	KnownPeers          []Peer               `json:",omitempty"` // entries that report to the sender, a control instance, unless the receiver has this list
 	KnownPeersDigest    uint64               `json:",omitempty"` // of that list; 0 if there is none
+	LeavingLonger       []roster.Entry       `json:",omitempty"` // servers that have been leaving for longer than the receiver said
 }
 
 // Gathered is what a control instance has gathered from the entries whose home it is, and from its
@@ -133,6 +134,7 @@
 	Peers            []Peer         `json:",omitempty"` // these peers, if the digest of the request differs
 	KnownPeersDigest uint64         `json:",omitempty"` // digest of the KnownPeers of the requester that the sender has
 	Lease            *LeaseReply    `json:",omitempty"` // nil unless the sender leads and was asked for leases
+	HeldFor          time.Duration  `json:",omitempty"` // how long the sender held the call
 }
 
 // Peer is an entry that serves requests which other entries forward. Zone is empty for one of the
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -67,7 +67,7 @@
 	lag           time.Duration // behind the primary, at lagUpdated
 	lagUpdated    time.Time
 	failingSince  time.Time // first unanswered probe since the last answer, or zero
-	drainingSince time.Time // when it was first seen draining
+	drainingSince time.Time // when it was first acknowledged that it is draining
 	loggedStatus  string    // status in the last log line
 	keepIdle      bool      // keep idle connections for the next request
 }
@@ -95,8 +95,8 @@
 func (m *member) update(e roster.Entry, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if e.State == roster.Draining && m.drainingSince.IsZero() {
-		m.drainingSince = now
+	if e.State == roster.Draining && (m.drainingSince.IsZero() || e.LeavingSince.Before(m.drainingSince)) {
+		m.drainingSince = e.LeavingSince
 	}
 	m.entry = e
 }
@@ -300,6 +300,9 @@
 		}
 	}
 	if w.session.tx == nil {
+		if m.pastLeaveGrace(m.now()) {
+			return nil, errs.New(errs.NotRun, errs.ReasonNoPrimary, "the backend server is about to stop")
+		}
 		if err := w.requireToken(ctx); err != nil {
 			return nil, err
 		}
--- a/roster/check.go
+++ b/roster/check.go
@@ -18,6 +18,8 @@
 	// maxBornAhead is how far the start of a server may lie ahead of the time of day here, which
 	// may differ by seconds. A later start would take precedence over every true one.
 	maxBornAhead = time.Hour
+	// maxLeavingFor is far above the time that a server which has stopped is listed.
+	maxLeavingFor = time.Hour
 )
 
 // Check returns an error if the entry cannot be that of a backend server. timeOfDay is the
@@ -43,6 +45,8 @@
 		return eris.Errorf("roster: claim %d to the address is above %d", e.Claim, uint64(maxClaim))
 	case e.Born < 0 || e.Born > timeOfDay.Add(maxBornAhead).UnixMilli():
 		return eris.Errorf("roster: start at %d ms is negative or more than %v ahead", e.Born, maxBornAhead)
+	case e.LeavingFor < 0 || e.LeavingFor > maxLeavingFor:
+		return eris.Errorf("roster: leaving for %v, want 0 to %v", e.LeavingFor, maxLeavingFor)
 	case e.State > Gone:
 		return eris.Errorf("roster: unknown state %d", uint8(e.State))
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -35,6 +35,11 @@
 	State   State
 	Primary bool   // it announces itself as the primary
 	Claim   uint64 // orders the servers that announced the same address; see Table.Announce
+	// LeavingFor is set only in entries on their way to another instance: how long ago it was
+	// first acknowledged that the server leaves.
+	LeavingFor time.Duration `json:",omitempty"`
+	// LeavingSince is when that was, on the clock of this instance; zero if it is ready.
+	LeavingSince time.Time `json:"-"`
 }
 
 // Incarnation identifies one start of a backend server.
@@ -46,6 +51,37 @@
 // Incarnation returns the start that the entry describes.
 func (e Entry) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
 
+// ForRelay returns the entry as it is sent to another instance, whose clock may differ.
+func (e Entry) ForRelay(now time.Time) Entry {
+	if !e.LeavingSince.IsZero() {
+		e.LeavingFor, e.LeavingSince = max(0, now.Sub(e.LeavingSince)), time.Time{}
+	}
+	return e
+}
+
+// received returns an entry that arrived from a server or another instance as it is stored.
+func (e Entry) received(now time.Time) Entry {
+	leavingFor := e.LeavingFor
+	e.LeavingFor, e.LeavingSince = 0, time.Time{}
+	if e.State != Ready {
+		e.LeavingSince = now.Add(-max(0, leavingFor))
+	}
+	return e
+}
+
+// LeavingTolerance is how much earlier another instance must have known that a server leaves, so that
+// the time on the way is not taken for a difference.
+const LeavingTolerance = 100 * time.Millisecond
+
+// earlierLeave returns the earlier of two times, the first one unless they differ by more than
+// LeavingTolerance.
+func earlierLeave(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && a.Sub(b) > LeavingTolerance {
+		return b
+	}
+	return a
+}
+
 // merge returns what is known of a server after other was heard too. The order in which the two
 // were heard does not matter.
 func (e Entry) merge(other Entry) Entry {
@@ -60,6 +96,7 @@
 		merged = other
 	}
 	merged.State, merged.Claim = max(e.State, other.State), max(e.Claim, other.Claim)
+	merged.LeavingSince = earlierLeave(e.LeavingSince, other.LeavingSince)
 	return merged
 }
 
@@ -96,6 +133,16 @@
 	contestWindow = 10 * time.Second
 )
 
+// A server that was leaving when an instance which has just started heard of it first has been leaving
+// for an unknown time.
+const (
+	// knownAfter is how long after the start of an instance a server that is ready has announced
+	// itself.
+	knownAfter = 5 * time.Second
+	// assumedLeave is how long before the start such a server is taken to have been leaving.
+	assumedLeave = time.Second
+)
+
 // row is the entry of one server ID.
 type row struct {
 	entry         Entry
@@ -113,6 +160,8 @@
 
 // Table is the roster. It is safe for concurrent use.
 type Table struct {
+	started time.Time // of the instance; zero if servers that are leaving cannot have been so before
+
 	mu       sync.Mutex
 	rows     map[string]*row   // by ID
 	byAddr   map[string][]*row // servers that announced an address; the one that has it comes first
@@ -120,9 +169,19 @@
 	changed  chan struct{}     // closed at the next change
 }
 
+// Option configures a Table.
+type Option func(*Table)
+
+// WithStart sets when the instance started. It knows nothing of before.
+func WithStart(now time.Time) Option { return func(t *Table) { t.started = now } }
+
 // New returns an empty Table.
-func New() *Table {
-	return &Table{rows: make(map[string]*row), byAddr: make(map[string][]*row), changed: make(chan struct{})}
+func New(opts ...Option) *Table {
+	t := &Table{rows: make(map[string]*row), byAddr: make(map[string][]*row), changed: make(chan struct{})}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
 }
 
 // Announce stores what a server announced of itself. A new start of a server gets its address from
@@ -132,7 +191,7 @@
 func (t *Table) Announce(e Entry, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e.Claim = t.claim(e)
+	e.Claim, e.LeavingFor = t.claim(e), t.unseenLeave(e, now)
 	changed := t.put(e, now)
 	r := t.rows[e.ID]
 	if r == nil || !r.displaced || r.entry.State == Gone || r.entry.Seq != e.Seq || r.entry.Born != e.Born {
@@ -145,6 +204,15 @@
 	return t.put(e, now)
 }
 
+// unseenLeave returns for how long a server that announces itself may have been leaving already.
+func (t *Table) unseenLeave(e Entry, now time.Time) time.Duration {
+	r := t.rows[e.ID]
+	if known := r != nil && r.entry.Born == e.Born; known || t.started.IsZero() || now.Sub(t.started) > knownAfter {
+		return 0
+	}
+	return now.Sub(t.started) + assumedLeave
+}
+
 // claim returns the claim of an announcement to its address.
 func (t *Table) claim(e Entry) uint64 {
 	r := t.rows[e.ID]
@@ -172,6 +240,7 @@
 }
 
 func (t *Table) put(e Entry, now time.Time) bool {
+	e = e.received(now)
 	r := t.rows[e.ID]
 	if r == nil {
 		if len(t.rows) >= maxEntries {
@@ -262,7 +331,7 @@
 	if r == nil || inc.Born != r.entry.Born || r.entry.State == Gone {
 		return false
 	}
-	r.entry.State, r.lastAnnounced = Gone, now
+	r.entry.State, r.lastAnnounced, r.entry.LeavingSince = Gone, now, earlierLeave(r.entry.LeavingSince, now)
 	t.markChanged(r)
 	return true
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -41,8 +41,16 @@
 				case "relay": // what the table named on the line has
 					entries, _, _ := tables[line].Since(0)
 					for _, e := range entries {
-						table.Put(e, now)
+						table.Put(e.ForRelay(now), now)
 					}
+				case "started": // the instance of the table starts now
+					table = roster.New(roster.WithStart(now))
+					tables[name] = table
+				case "ages":
+					for _, e := range table.Members("db") {
+						fmt.Fprintf(&out, "%s leaving for %v\n", e.ID, e.ForRelay(now).LeavingFor)
+					}
+					return out.String()
 				case "wait":
 					now = now.Add(parseDuration(t, line))
 				case "each":
