duty, host: a new member is not admitted while a promotion may take effect

Cause: the promotion rests on positions of paused members, but any control instance acknowledged the announcement of a new one, which receives from then on. Evidence: its PAUSE follows 30 to 60 ms later with a position beyond the target.

Change: where commits wait for replicas, the leader of control admits new starts of members. It does not from the begin of an unplanned replacement until the promoted member leads, nor while an order may still be carried out, nor in doubt of its leadership; they get 503 and announce themselves again. They are paused, asked and counted meanwhile.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -37,10 +37,11 @@
 	// View is the current state of the service as control knows it. It is repeated
 	// regularly.
 	View struct {
-		Members      []Member
-		Instances    int    // instances that probe the members
-		SyncReplicas int    // replicas that hold a commit when it is acknowledged
-		Ordered      string // member that the newest promotion order names, or empty
+		Members      []Member // with those that wait to be admitted; see Supervisor.Admits
+		Instances    int      // instances that probe the members
+		SyncReplicas int      // replicas that hold a commit when it is acknowledged
+		Order        uint64   // token of the newest promotion order, or 0
+		Ordered      string   // member that this order names, or empty
 		// Held is a position that Ordered held when that order was decided, or zero.
 		Held      group.Position
 		Starts    group.Starts // where terms started, as far as it was recorded
@@ -229,7 +230,7 @@
 // New returns a Supervisor that starts no replacement for startDelay: a leader that
 // has just been elected does not know the reports of the instances yet.
 func New(now time.Time, opts ...Option) *Supervisor {
-	s := &Supervisor{notBefore: now.Add(startDelay), overlap: overlap{enabled: true}}
+	s := &Supervisor{notBefore: now.Add(startDelay), overlap: overlap{enabled: true}, pauses: pauses{notBefore: now.Add(syncedStartDelay)}}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -239,11 +240,13 @@
 // startDelay is the time that instances get to report to a new leader.
 const startDelay = time.Second
 
-// Step processes one event and returns the actions to carry out.
+// Step processes one event and returns the actions to carry out. If Admits becomes false with it, the next
+// event must be a View with all members that were admitted until then.
 func (s *Supervisor) Step(e Event, now time.Time) []Action {
 	switch e := e.(type) {
 	case View:
 		s.view = e
+		s.recordOrder(now)
 		return s.onView(now)
 	case Status:
 		return s.onStatus(e, now)
@@ -277,6 +280,7 @@
 		if now.Sub(s.phaseSince) >= statusTimeout {
 			return s.onPaused(now)
 		}
+		return s.pauseNewcomers()
 	case steppingDown:
 		if now.Sub(s.phaseSince) >= statusTimeout {
 			return s.onStatus(Status{ID: s.oldPrimary, Err: errNoAnswer}, now)
@@ -326,7 +330,7 @@
 // checkPrimary starts a replacement if the primary is failing or draining, or if
 // there has been none for noPrimaryTimeout.
 func (s *Supervisor) checkPrimary(now time.Time) []Action {
-	if now.Before(s.notBefore) || s.view.Instances == 0 || len(s.view.Members) < 2 {
+	if now.Before(s.notBefore) || s.synced() && now.Before(s.pauses.notBefore) || s.view.Instances == 0 || len(s.view.Members) < 2 {
 		s.noPrimarySince = time.Time{}
 		return nil
 	}
@@ -545,6 +549,8 @@
 			s.held = st.Received
 			return s.issueToken(now)
 		}
+	case awaitingRelease, issuingToken, promoting:
+		return s.noteOvertaken(st)
 	}
 	return nil
 }
@@ -578,7 +584,7 @@
 	if s.phase != issuingToken || e.Target != s.target {
 		return nil
 	}
-	if e.Err != nil {
+	if e.Err != nil || s.pauses.overtaken {
 		return s.retryLater(now)
 	}
 	s.enterPhase(promoting, now)
@@ -593,7 +599,7 @@
 		return nil
 	}
 	switch {
-	case e.Outdated:
+	case e.Outdated, e.Err != nil && s.pauses.overtaken:
 		return s.retryLater(now)
 	case e.Err != nil:
 		return s.issueToken(now)
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -25,10 +25,15 @@
 		var view duty.View
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
-			step := func(e duty.Event) {
+			var step func(duty.Event)
+			step = func(e duty.Event) {
+				admitted := s.Admits(now)
 				for _, a := range s.Step(e, now) {
 					fmt.Fprintf(&out, "%d ms: %s\n", now.Sub(start).Milliseconds(), formatAction(a))
 				}
+				if admitted && !s.Admits(now) {
+					step(view)
+				}
 			}
 			switch d.Cmd {
 			case "overlapping":
@@ -41,6 +46,8 @@
 					now = now.Add(50 * time.Millisecond)
 					step(view)
 				}
+			case "admits":
+				fmt.Fprintln(&out, s.Admits(now))
 			case "status":
 				for line := range strings.SplitSeq(d.Input, "\n") {
 					step(parseStatus(t, line))
@@ -111,6 +118,9 @@
 	if d.HasArg("ordered") {
 		d.ScanArgs(t, "ordered", &view.Ordered)
 	}
+	if d.HasArg("order") {
+		d.ScanArgs(t, "order", &view.Order)
+	}
 	if d.HasArg("held") {
 		var held string
 		d.ScanArgs(t, "held", &held)
--- a/duty/overlap.go
+++ b/duty/overlap.go
@@ -73,6 +73,8 @@
 // awaitRelease asks the old primary to step down until no instance relies on it.
 func (s *Supervisor) awaitRelease(now time.Time) []Action {
 	switch {
+	case s.pauses.overtaken:
+		return s.retryLater(now)
 	case s.view.MayPromote:
 		return s.issueToken(now)
 	case now.Sub(s.phaseSince) >= releaseTimeout:
--- a/duty/pause.go
+++ b/duty/pause.go
@@ -12,8 +12,18 @@
 // takes effect, as long as one replica receives them. A successor that is chosen by what it has
 // received must not lack any of them. So the replicas are paused first, and asked after that: from
 // then on nothing is acknowledged, and the positions hold until the promotion.
+//
+// A member that starts meanwhile could receive commits too. It does so once its announcement has been
+// acknowledged, so it is not admitted until the promotion has taken effect, and paused in case it
+// receives nevertheless.
 
 const (
+	// syncedStartDelay is the time that a new leader gives members which its predecessor admitted to
+	// announce themselves again: one heartbeat interval of the backend servers and a margin.
+	syncedStartDelay = 1500 * time.Millisecond
+	// lateOrderLimit is how long after it was issued the platform may carry out an order to which it
+	// gave no answer.
+	lateOrderLimit = 13 * time.Second
 	// auditInterval is the time between checks for replicas that were left paused.
 	auditInterval = 2 * time.Second
 	// resumeInterval is the time between attempts to resume the replicas.
@@ -24,6 +34,10 @@
 type pauses struct {
 	term      uint64           // of the last pause
 	replicas  map[string]int64 // starts of the replicas that may be paused, by ID
+	notBefore time.Time        // no replacement is started earlier
+	order     uint64           // token of the newest order
+	orderedAt time.Time        // when it was first seen
+	overtaken bool             // a member that started since the pause holds more than the target
 	auditedAt time.Time
 	resumedAt time.Time
 }
@@ -36,7 +50,7 @@
 	if _, ok := s.successor(now); !ok {
 		return append(s.noteDiscarded(), s.retryLater(now)...)
 	}
-	s.pauses.term = 0
+	s.pauses.term, s.pauses.overtaken = 0, false
 	for _, st := range s.statuses {
 		s.pauses.term = max(s.pauses.term, st.Term+1)
 	}
@@ -84,6 +98,9 @@
 	}
 	var out []Action
 	for _, m := range s.view.Members {
+		if _, answered := s.statuses[m.ID]; answered && s.phase == pausing {
+			continue
+		}
 		if born, paused := s.pauses.replicas[m.ID]; m.ID != s.oldPrimary && !m.Primary && (!paused || born != m.Born) {
 			out = append(out, s.pause(m))
 		}
@@ -91,6 +108,41 @@
 	return out
 }
 
+// noteOvertaken records that a member which has started since the pause received commits that the target
+// lacks. Unless the order has been sent, the members are asked again.
+func (s *Supervisor) noteOvertaken(st Status) []Action {
+	if !s.synced() || s.planned || st.Err != nil || st.ID == s.target || s.pauses.overtaken || !s.held.Less(st.Received) {
+		return nil
+	}
+	s.pauses.overtaken = true
+	return []Action{Note{Text: "a member that started after the pause holds more than the target of the promotion", Member: st.ID, Statuses: []Status{st}}}
+}
+
+// Admits reports whether a new member may start to receive. If commits wait for replicas, it must not
+// while a promotion may take effect that was decided without it.
+func (s *Supervisor) Admits(now time.Time) bool {
+	switch {
+	case !s.synced():
+		return true
+	case s.phase != watching:
+		return s.planned // the primary steps down, and its successor has to hold all that it acknowledged
+	}
+	return !s.orderPending(now)
+}
+
+// recordOrder records when the newest order was first seen.
+func (s *Supervisor) recordOrder(now time.Time) {
+	if s.view.Order != s.pauses.order {
+		s.pauses.order, s.pauses.orderedAt = s.view.Order, now
+	}
+}
+
+// orderPending reports whether the newest order may still be carried out.
+func (s *Supervisor) orderPending(now time.Time) bool {
+	m, listed := s.member(s.view.Ordered)
+	return listed && !m.Primary && now.Sub(s.pauses.orderedAt) < lateOrderLimit
+}
+
 // recordPause records whether a member that answered is paused. While a promotion is under way, one
 // that did not answer is paused again.
 func (s *Supervisor) recordPause(st Status) {
--- a/host/calls.go
+++ b/host/calls.go
@@ -53,6 +53,14 @@
 	return &mesh.HandOverReply{Done: true}, nil
 }
 
+// Admit admits a backend server if this instance is the leader and no promotion forbids it.
+func (h meshHandler) Admit(_ context.Context, in *mesh.AdmitRequest) (*mesh.AdmitReply, error) {
+	if err := in.Server.Check(time.Now()); err != nil {
+		return nil, err
+	}
+	return &mesh.AdmitReply{Admitted: h.c.admitLocally(in.Server)}, nil
+}
+
 // Fetch returns a part of an encoded version of the configuration.
 func (h meshHandler) Fetch(_ context.Context, in *mesh.FetchRequest) (*mesh.FetchReply, error) {
 	return h.c.Fetch(in)
--- a/host/control.go
+++ b/host/control.go
@@ -51,6 +51,7 @@
 	leases      *leaseHolder // of the prober; nil if a promotion stops the former primary
 	giver       *leaseGiver  // nil likewise
 	caps        *capsOwner   // nil if customers have no caps
+	admission   *admission
 	http        *http.Server
 
 	mu               sync.Mutex
@@ -73,7 +74,7 @@
 func StartControl(s Settings, p ControlDeps) (*Controller, error) {
 	c := &Controller{
 		settings: s, deps: p, incarnation: rand.Uint64() | 1, ledger: ledger.New(), roster: roster.New(roster.WithStart(p.Now())),
-		reports: newReportTable(), leaderChanged: make(chan struct{}), ended: make(chan error, 3), served: make(chan error, servers), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
+		reports: newReportTable(), admission: newAdmission(), leaderChanged: make(chan struct{}), ended: make(chan error, 3), served: make(chan error, servers), dutyDone: make(chan error, 1), configDone: make(chan error, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	peerListener, err := mesh.Listen(c.ctx, s.PeerAddr)
@@ -223,8 +224,9 @@
 	return doc
 }
 
-// Announce adds the announcement of a backend server to the roster.
-func (c *Controller) Announce(e roster.Entry) error {
+// Announce adds the announcement of a backend server to the roster. A start of a server that this instance
+// does not know yet is admitted by the leader first if commits of its service wait for replicas.
+func (c *Controller) Announce(ctx context.Context, e roster.Entry) error {
 	if err := e.Check(time.Now()); err != nil {
 		return err
 	}
@@ -233,11 +235,20 @@
 			return eris.Wrapf(ErrUnknown, "service %q", e.Service)
 		}
 	}
+	if c.needsAdmission(e) {
+		if err := c.admit(ctx, e); err != nil {
+			return err
+		}
+	}
+	c.announce(e)
+	return nil
+}
+
+func (c *Controller) announce(e roster.Entry) {
 	if c.roster.Announce(e, c.deps.Now()) {
 		c.deps.Log.Info().Str("service", e.Service).Str("member", e.ID).Str("state", e.State.String()).
 			Bool("primary", e.Primary).Uint64("seq", e.Seq).Int64("born", e.Born).Msg("backend server changed")
 	}
-	return nil
 }
 
 // Leave records that one start of a backend server has ended.
--- a/host/duty.go
+++ b/host/duty.go
@@ -49,6 +49,7 @@
 	log      *event.Log
 	term     raft.Term // of the supervisors
 	services map[string]*duty.Supervisor
+	health   healthSummary // of the last update
 	events   chan serviceEvent
 	wg       conc.WaitGroup
 }
@@ -94,7 +95,7 @@
 			return nil
 		case e := <-s.events:
 			if sup := s.services[e.service]; sup != nil && c.isCurrentLeader() {
-				s.runActions(ctx, e.service, sup.Step(e.event, c.deps.Now()))
+				s.step(ctx, e.service, sup, e.event)
 			}
 		case <-t.C:
 			c.followLeader()
@@ -135,19 +136,39 @@
 			sup = duty.New(now, duty.WithSuccession(s.c.settings.Succession))
 			s.services[name] = sup
 		}
-		view := duty.View{Instances: health.probing[name], SyncReplicas: cfg.SyncReplicas}
-		order, _ := s.c.ledger.PromotionOrder(name)
-		view.Ordered, view.Held, view.Starts = order.Target, order.Held, s.c.ledger.Starts(name)
-		if s.c.giver != nil {
-			view.Appointed, view.MayPromote, view.Reassert = order.Target, s.c.giver.mayPromote(name, ""), s.c.giver.mustReassert(name)
-		}
-		for _, e := range s.c.roster.Members(name) {
-			view.Members = append(view.Members, duty.Member{
-				ID: e.ID, Born: e.Born, Primary: e.Primary, Draining: e.State == roster.Draining, LeavingSince: e.LeavingSince, FailingInstances: health.failing[memberKey{name, e.ID}],
-			})
-		}
-		s.runActions(ctx, name, sup.Step(view, now))
+		s.health = health
+		s.step(ctx, name, sup, s.view(name, cfg.SyncReplicas))
+	}
+}
+
+// view returns the current state of a service.
+func (s *supervision) view(service string, syncReplicas int) duty.View {
+	view := duty.View{Instances: s.health.probing[service], SyncReplicas: syncReplicas}
+	order, _ := s.c.ledger.PromotionOrder(service)
+	view.Order, view.Ordered, view.Held, view.Starts = order.Token, order.Target, order.Held, s.c.ledger.Starts(service)
+	if s.c.giver != nil {
+		view.Appointed, view.MayPromote, view.Reassert = order.Target, s.c.giver.mayPromote(service, ""), s.c.giver.mustReassert(service)
+	}
+	for _, e := range s.c.admission.withWaiting(service, s.c.roster.Members(service), s.c.deps.Now()) {
+		view.Members = append(view.Members, duty.Member{
+			ID: e.ID, Born: e.Born, Primary: e.Primary, Draining: e.State == roster.Draining, LeavingSince: e.LeavingSince, FailingInstances: s.health.failing[memberKey{service, e.ID}],
+		})
+	}
+	return view
+}
+
+// step passes an event to a supervisor and carries out what it decides. If the service admits no new members
+// any more, the supervisor gets those that were admitted until then.
+func (s *supervision) step(ctx context.Context, service string, sup *duty.Supervisor, e duty.Event) {
+	now := s.c.deps.Now()
+	admitted := sup.Admits(now)
+	actions := sup.Step(e, now)
+	admits := sup.Admits(now)
+	s.c.admission.setOpen(service, s.term, admits)
+	if doc := s.c.document(); admitted && !admits && doc != nil {
+		actions = append(actions, sup.Step(s.view(service, doc.Services[service].SyncReplicas), now)...)
 	}
+	s.runActions(ctx, service, actions)
 }
 
 // runActions starts the actions that a supervisor decided.
@@ -225,10 +246,10 @@
 	return statusEvent(id, st, err)
 }
 
-// target returns the server that the roster lists under id now. The address is empty if it
-// lists none.
+// target returns the server that waits to be admitted, or that the roster lists, under id now. The
+// address is empty if there is none.
 func (s *supervision) target(service, id string) proxy.Target {
-	for _, e := range s.c.roster.Members(service) {
+	for _, e := range s.c.admission.withWaiting(service, s.c.roster.Members(service), s.c.deps.Now()) {
 		if e.ID == id {
 			return proxy.Target{Addr: e.Addr, Service: service, ID: id}
 		}
--- a/host/host.go
+++ b/host/host.go
@@ -37,8 +37,9 @@
 
 // Control is the part of the control role that backend servers and operators call.
 type Control interface {
-	// Announce adds the announcement of a backend server to the roster.
-	Announce(roster.Entry) error
+	// Announce adds the announcement of a backend server to the roster. It returns ErrNotAdmitted if
+	// the server must announce itself again later.
+	Announce(context.Context, roster.Entry) error
 	// Leave records that one start of a backend server has ended.
 	Leave(roster.Incarnation)
 	// Put stores a configuration. It returns nil once a majority of the control members
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -225,6 +225,12 @@
 	Leader string
 }
 
+// AdmitRequest asks the leader whether a backend server that has started may receive commits.
+type AdmitRequest struct{ Server roster.Entry }
+
+// AdmitReply tells whether it may.
+type AdmitReply struct{ Admitted bool }
+
 // Handler serves the calls at a control instance.
 type Handler interface {
 	Sync(ctx context.Context, in *SyncRequest) (*SyncReply, error)
@@ -234,6 +240,7 @@
 	Fetch(ctx context.Context, in *FetchRequest) (*FetchReply, error)
 	HandOver(ctx context.Context, in *HandOverRequest) (*HandOverReply, error)
 	Caps(ctx context.Context, in *caps.Ask) (*CapsReply, error)
+	Admit(ctx context.Context, in *AdmitRequest) (*AdmitReply, error)
 }
 
 // Names of the drpc methods.
@@ -244,6 +251,7 @@
 	callProve    = "/mesh.Control/Prove"
 	callFetch    = "/mesh.Control/Fetch"
 	callHandOver = "/mesh.Control/HandOver"
+	callAdmit    = "/mesh.Control/Admit"
 )
 
 // Meter receives the size in bytes of a message as it is sent, and how long its encoding or
@@ -356,7 +364,7 @@
 type description struct{ encoding encoding }
 
 // NumMethods returns the number of methods.
-func (description) NumMethods() int { return 7 }
+func (description) NumMethods() int { return 8 }
 
 // Method describes the method with number n.
 func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -375,6 +383,8 @@
 		return callHandOver, d.encoding, receiver(Handler.HandOver), Handler.HandOver, true
 	case 6:
 		return callCaps, binaryEncoding{d.encoding}, receiver(Handler.Caps), Handler.Caps, true
+	case 7:
+		return callAdmit, d.encoding, receiver(Handler.Admit), Handler.Admit, true
 	default:
 		return "", nil, nil, nil, false
 	}
@@ -535,6 +545,11 @@
 	return call[FetchReply](ctx, c, callFetch, binaryEncoding{c.encoding}, in)
 }
 
+// Admit asks the instance, which has to be the leader, to admit a backend server.
+func (c *Client) Admit(ctx context.Context, in *AdmitRequest) (*AdmitReply, error) {
+	return call[AdmitReply](ctx, c, callAdmit, c.encoding, in)
+}
+
 // HandOver asks the instance to give the vote of another one away.
 func (c *Client) HandOver(ctx context.Context, in *HandOverRequest) (*HandOverReply, error) {
 	return call[HandOverReply](ctx, c, callHandOver, c.encoding, in)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -391,6 +391,14 @@
 	return out
 }
 
+// Knows reports whether a start of a server is the newest one that the table has.
+func (t *Table) Knows(inc Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[inc.ID]
+	return r != nil && r.entry.Born == inc.Born
+}
+
 // Revision returns the number of changes so far.
 func (t *Table) Revision() uint64 {
 	t.mu.Lock()
