ctrl, raft: a spare replaces a voter that is gone within the second

Two instances with the log were left of three voters, one of them a spare.

Cause: silence of a voter counted from the first check that missed it, at a new leader from 0.3 s after its election, and 1 s had to pass. Evidence: the spare has the version that was stored before the removal, and no line "learner becomes a voter" follows.

Change: silence counts from the last message, for a new leader from what it knew before its election. A spare replaces a voter after 0.4 s, or 1 s if the voters have changed within 10 s, so that lost packets do not make them change all the time. After a split vote the next attempt comes within 150 ms.

--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -11,9 +11,16 @@
 	// membershipInterval is the time between two checks whether a membership change is due. A
 	// change that follows another one is proposed as soon as that one is committed.
 	membershipInterval = 100 * time.Millisecond
-	// silentVoterTimeout is how long a voter does not answer before a learner that has caught up
+	// silentVoterTimeout is how long a voter is not heard from before a learner that has caught up
 	// replaces it. A voter that returns later joins again and is the next spare.
 	silentVoterTimeout = time.Second
+	// quickVoterTimeout takes its place while the voters have not changed for voterChangePause: the loss of a
+	// machine whose successor is there may be followed by the next loss at once. Six heartbeats fit into it.
+	quickVoterTimeout = 400 * time.Millisecond
+	voterChangePause  = 10 * time.Second
+	// minObservation is how long a new leader waits for answers before it replaces a voter that it had not
+	// heard from before its election.
+	minObservation = 100 * time.Millisecond
 	// minOddVoters is the least number of voters that is kept odd. Fewer tolerate no failure.
 	minOddVoters = 3
 )
@@ -28,14 +35,14 @@
 }
 
 // nextChange returns the membership change that is due, and why, or nil. Other members than the
-// initial ones may join if open is set.
+// initial ones may join if open is set. A voter that has been silent for silentLimit may be replaced.
 //
 // An ID whose address another member has taken over has lost its disk and will never answer again.
 // It is removed before the new ID becomes a voter: the majority needs as many of the remaining
 // voters either way, and if the disk is lost again meanwhile, one lost voter is counted and not
 // two. A voter that is only silent may return with its disk. It is removed after a learner has
 // replaced it, so that the log survives in between if any one disk is lost.
-func nextChange(members []memberState, open bool) (raft.Change, string) {
+func nextChange(members []memberState, open bool, silentLimit time.Duration) (raft.Change, string) {
 	if id := replacedMember(members); id != 0 {
 		return raft.Remove{ID: id}, "another member is active at its address"
 	}
@@ -49,7 +56,7 @@
 			return raft.Remove{ID: leaving}, "it stops, and an odd number of voters tolerates as many failures"
 		}
 	}
-	replace := open && (leaving != 0 || silent.silent >= silentVoterTimeout)
+	replace := open && (leaving != 0 || silent.silent >= silentLimit)
 	if id := promotableLearner(members, len(voters), replace); id != 0 {
 		return raft.Promote{ID: id}, "it has caught up and is needed as a voter"
 	}
@@ -132,9 +139,12 @@
 	for _, p := range st.Progress {
 		switch {
 		case p.Member.Learner:
-		case !p.RecentlyActive:
+		case !p.RecentlyActive || silentBefore(st, p, now):
 			since := now
-			if s, ok := r[p.Member.ID]; ok && now.Sub(s.seen) < silenceMemory {
+			if !p.HeardAt.IsZero() {
+				since = p.HeardAt
+			}
+			if s, ok := r[p.Member.ID]; ok && now.Sub(s.seen) < silenceMemory && s.since.Before(since) {
 				since = s.since
 			}
 			r[p.Member.ID] = silence{since: since, seen: now}
@@ -144,6 +154,12 @@
 	}
 }
 
+// silentBefore reports whether a member that has not answered this leader was silent before its election for so
+// long that the leader need not observe it anew.
+func silentBefore(st raft.Status, p raft.Progress, now time.Time) bool {
+	return !p.Answered && !p.HeardAt.IsZero() && now.Sub(p.HeardAt) >= quickVoterTimeout && now.Sub(st.LeaderSince) >= minObservation
+}
+
 // remembered reports whether a voter has not answered for silentVoterTimeout, as far as this member
 // knows from when it led last, not long ago. A new leader counts all others as active at first, but one
 // that it found silent only once it answers again.
@@ -167,7 +183,7 @@
 		out = append(out, memberState{Member: self, active: true, leaving: n.isLeaving(self.ID, now)})
 	}
 	for _, p := range st.Progress {
-		active := p.RecentlyActive && (p.Answered || !n.silence.remembered(p.Member.ID, now))
+		active := p.RecentlyActive && (p.Answered || !n.silence.remembered(p.Member.ID, now) && !silentBefore(st, p, now))
 		out = append(out, memberState{
 			Member: p.Member, active: active, caughtUp: p.CaughtUp, silent: n.silence.of(p.Member.ID, now),
 			leaving: n.isLeaving(p.Member.ID, now),
@@ -221,7 +237,7 @@
 	if st.ChangePending || !st.Current {
 		return raft.Output{}
 	}
-	change, reason := nextChange(n.memberStates(st, now), n.openMembership)
+	change, reason := nextChange(n.memberStates(st, now), n.openMembership, n.silentLimit(now))
 	if change == nil {
 		return raft.Output{}
 	}
@@ -231,6 +247,23 @@
 	return out
 }
 
+// silentLimit returns how long a voter has to be silent before a spare replaces it. Replacements must not follow each
+// other closely where links lose packets.
+func (n *Node) silentLimit(now time.Time) time.Duration {
+	if !n.votersChangedAt.IsZero() && now.Sub(n.votersChangedAt) < voterChangePause {
+		return silentVoterTimeout
+	}
+	return quickVoterTimeout
+}
+
+// recordVoters records when the voters changed, whoever leads.
+func (n *Node) recordVoters(voters []raft.ID, now time.Time) {
+	if len(n.voters) > 0 && !slices.Equal(n.voters, voters) {
+		n.votersChangedAt = now
+	}
+	n.voters = voters
+}
+
 // logChange logs a membership change that was proposed, with the voters before it and those that
 // did not answer the leader then.
 func (n *Node) logChange(st raft.Status, c raft.Change, reason string, err error, now time.Time) {
--- a/ctrl/membership_test.go
+++ b/ctrl/membership_test.go
@@ -37,7 +37,7 @@
 		var out strings.Builder
 		fmt.Fprintf(&out, "%s\n", describeMembers(members))
 		for range 10 {
-			change, _ := nextChange(members, d.HasArg("open"))
+			change, _ := nextChange(members, d.HasArg("open"), silentVoterTimeout)
 			if change == nil {
 				return out.String()
 			}
@@ -201,7 +201,53 @@
 			st := status(true, tt.answered) // at a new leader
 			n.silence.update(st, now)
 			got := "none"
-			if change, _ := nextChange(n.memberStates(st, now), true); change != nil {
+			if change, _ := nextChange(n.memberStates(st, now), true, n.silentLimit(now)); change != nil {
+				got = describeChange(change)
+			}
+			if got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestQuickReplacement guards against a voter that is gone and counts as one for longer than it takes to
+// notice: its silence counts from when it was heard last, also before the election of the leader. A spare
+// replaces it soon, unless the voters have just changed.
+func TestQuickReplacement(t *testing.T) {
+	const self, other, gone, spare raft.ID = 1, 2, 3, 4
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	for _, tt := range []struct {
+		name     string
+		heard    time.Duration // since the voter was heard
+		answered bool          // whether it has answered this leader
+		leads    time.Duration // since the election
+		changed  time.Duration // since the voters changed, 0 if they have not
+		voting   bool          // whether the spare votes already
+		want     string
+	}{
+		{name: "under the same leader", heard: 450 * time.Millisecond, answered: true, leads: time.Minute, want: "promote 4"},
+		{name: "too soon", heard: 350 * time.Millisecond, answered: true, leads: time.Minute, want: "none"},
+		{name: "former leader", heard: 600 * time.Millisecond, leads: 120 * time.Millisecond, want: "promote 4"},
+		{name: "may still answer", heard: 600 * time.Millisecond, leads: 50 * time.Millisecond, want: "none"},
+		{name: "removed", heard: 600 * time.Millisecond, leads: 120 * time.Millisecond, changed: 10 * time.Millisecond, voting: true, want: "remove 3"},
+		{name: "after a change", heard: 900 * time.Millisecond, answered: true, leads: time.Minute, changed: 5 * time.Second, want: "none"},
+		{name: "after a change, for longer", heard: 1100 * time.Millisecond, answered: true, leads: time.Minute, changed: 5 * time.Second, want: "promote 4"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			members := raft.Members{{ID: self, Address: "a"}, {ID: other, Address: "b"}, {ID: gone, Address: "c"}, {ID: spare, Address: "d", Learner: !tt.voting}}
+			active := raft.Progress{RecentlyActive: true, Answered: true, CaughtUp: true, HeardAt: now}
+			silent := raft.Progress{Member: members[2], RecentlyActive: !tt.answered, Answered: tt.answered, HeardAt: ago(tt.heard)}
+			st := raft.Status{ID: self, Role: raft.Leader, Members: members, LeaderSince: ago(tt.leads), Progress: []raft.Progress{active, silent, active}}
+			st.Progress[0].Member, st.Progress[2].Member = members[1], members[3]
+			n := &Node{silence: make(silenceRecord)}
+			if tt.changed > 0 {
+				n.votersChangedAt = ago(tt.changed)
+			}
+			n.silence.update(st, now)
+			got := "none"
+			if change, _ := nextChange(n.memberStates(st, now), true, n.silentLimit(now)); change != nil {
 				got = describeChange(change)
 			}
 			if got != tt.want {
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -82,6 +82,8 @@
 	lastMembershipStep time.Time
 	changeProposed     bool // a membership change that this member proposed may need another one after it
 	silence            silenceRecord
+	voters             []raft.ID             // of the last status
+	votersChangedAt    time.Time             // when they changed, or zero
 	leaving            map[raft.ID]time.Time // members that announced their stop, and until when that counts
 
 	mu         sync.Mutex
@@ -387,6 +389,7 @@
 	was := n.status
 	n.status = st
 	n.mu.Unlock()
+	n.recordVoters(st.Members.Voters(), now)
 	if was.Role != st.Role || was.Leader != st.Leader {
 		n.log.Info().Str("role", st.Role.String()).Uint64("term", uint64(st.Term)).
 			Str("leader", st.Leader.String()).Msg("control role changed")
--- a/raft/election.go
+++ b/raft/election.go
@@ -32,6 +32,9 @@
 		n.leader = 0
 		return
 	}
+	if n.role == Follower {
+		n.campaignStart = now
+	}
 	n.role, n.leader = PreCandidate, 0
 	n.votes = map[ID]bool{n.hard.ID: true}
 	if n.hasVoteMajority() {
@@ -119,7 +122,11 @@
 // onRequestVoteReply counts a vote. Votes that arrive after the election timeout
 // are ignored: a candidate whose process was frozen must ask again.
 func (n *Node) onRequestVoteReply(m RequestVoteReply, now time.Time) {
-	if !now.Before(n.electionDeadline) || !m.Granted {
+	if !now.Before(n.electionDeadline) {
+		return
+	}
+	if !m.Granted {
+		n.onVoteRefused(m, now)
 		return
 	}
 	switch {
@@ -135,3 +142,22 @@
 		}
 	}
 }
+
+// A candidate that another voter refused, since it voted for another candidate, tries again after a random delay,
+// so that one of them comes first. The delay leaves time for the votes of others, and is much shorter than an
+// election timeout, in which nobody would lead.
+const (
+	minSplitDelay = 50 * time.Millisecond
+	maxSplitDelay = 150 * time.Millisecond
+)
+
+// onVoteRefused makes a candidate whose vote was split try again soon.
+func (n *Node) onVoteRefused(m RequestVoteReply, now time.Time) {
+	if m.PreVote || n.role != Candidate || m.Term != n.hard.Term {
+		return
+	}
+	delay := minSplitDelay + time.Duration(n.cfg.rnd.Int64N(int64(maxSplitDelay-minSplitDelay)))
+	if next := now.Add(delay); next.Before(n.electionDeadline) {
+		n.electionDeadline = next
+	}
+}
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -12,7 +12,7 @@
 	if n.role != Follower {
 		n.becomeFollower(n.hard.Term, leader, now)
 	}
-	n.leader, n.lastLeaderContact = leader, now
+	n.leader, n.lastLeader, n.lastLeaderContact = leader, leader, now
 	n.resetElectionDeadline(now)
 }
 
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -11,6 +11,7 @@
 	rounds        []heartbeatRound // recent rounds, oldest first
 	nextHeartbeat time.Time        // when the next heartbeat round is due
 	reads         []pendingRead
+	since         time.Time // when it was elected
 }
 
 type heartbeatRound struct {
@@ -27,6 +28,7 @@
 	sentRound   uint64  // round of the latest AppendEntries or InstallSnapshot sent
 	ackedRound  uint64  // the latest acknowledged round
 	lastContact time.Time
+	heardAt     time.Time         // see Progress.HeardAt
 	transfer    *snapshotTransfer // nil unless a snapshot is being sent
 }
 
@@ -35,9 +37,14 @@
 func (n *Node) becomeLeader(now time.Time) {
 	n.role, n.leader = Leader, n.hard.ID
 	n.votes = nil
-	n.leaderState = &leaderState{noOpIndex: n.log.lastIndex() + 1, peers: map[ID]*peer{}, nextHeartbeat: now.Add(n.cfg.heartbeat)}
+	n.leaderState = &leaderState{noOpIndex: n.log.lastIndex() + 1, peers: map[ID]*peer{}, nextHeartbeat: now.Add(n.cfg.heartbeat), since: now}
 	n.leaderState.beginRound(now)
 	n.updatePeers(n.leaderState.noOpIndex, now)
+	n.eachPeer(func(id ID, p *peer) {
+		if n.currentMembers().IsVoter(id) {
+			p.heardAt = n.heardBefore(id)
+		}
+	})
 	n.appendAsLeader(KindNoOp, nil, now)
 }
 
@@ -56,8 +63,21 @@
 		if m.ID == n.hard.ID || n.leaderState.peers[m.ID] != nil {
 			continue
 		}
-		n.leaderState.peers[m.ID] = &peer{nextIndex: next, probing: true, lastContact: now}
+		n.leaderState.peers[m.ID] = &peer{nextIndex: next, probing: true, lastContact: now, heardAt: now}
+	}
+}
+
+// heardBefore returns when a member was last heard from before this one was elected. The former leader would have
+// sent heartbeats; the other voters are asked for the first time when the campaign starts.
+func (n *Node) heardBefore(id ID) time.Time {
+	since := n.campaignStart
+	if id == n.lastLeader {
+		since = n.lastLeaderContact
+	}
+	if heard := n.heard[id]; heard.After(since) {
+		return heard
 	}
+	return since
 }
 
 // eachPeer calls f in the order of the membership, so that the same inputs always
--- a/raft/node.go
+++ b/raft/node.go
@@ -41,8 +41,11 @@
 	memberships       membershipHistory
 	role              Role
 	leader            ID
-	lastLeaderContact time.Time // when the current leader was last heard from
-	electionDeadline  time.Time // when the current election timeout expires
+	lastLeader        ID               // of this or an earlier term
+	lastLeaderContact time.Time        // when it was last heard from
+	heard             map[ID]time.Time // when a message of a member arrived last
+	campaignStart     time.Time        // when this member first asked for votes after it had heard from a leader
+	electionDeadline  time.Time        // when the current election timeout expires
 	votes             map[ID]bool
 	leaderState       *leaderState      // only in the role Leader
 	receiving         *incomingSnapshot // snapshot that is being received, nil if none
@@ -68,6 +71,7 @@
 		snap:        saved.Snapshot,
 		log:         newLog(saved.Snapshot, saved.Entries),
 		memberships: membershipHistory{{index: saved.Snapshot.Index, members: saved.Snapshot.Members}},
+		heard:       make(map[ID]time.Time),
 	}
 	if err := n.adoptMemberships(saved.Entries); err != nil {
 		return nil, err
@@ -103,6 +107,7 @@
 	if n.fault != nil || h.To != n.hard.ID || h.From == n.hard.ID || !wellFormed(m) {
 		return Output{Fault: n.fault}
 	}
+	n.recordHeard(h.From, now)
 	n.checkQuorum(now)
 	if n.checkTerm(m, now) {
 		n.dispatch(m, now)
@@ -110,6 +115,18 @@
 	return n.takeOutput()
 }
 
+// recordHeard records that a message of a member arrived.
+func (n *Node) recordHeard(id ID, now time.Time) {
+	if _, ok := n.currentMembers().Find(id); !ok {
+		delete(n.heard, id)
+		return
+	}
+	n.heard[id] = now
+	if n.role == Leader && n.leaderState.peers[id] != nil {
+		n.leaderState.peers[id].heardAt = now
+	}
+}
+
 func (n *Node) dispatch(m Message, now time.Time) {
 	switch m := m.(type) {
 	case RequestVote:
--- a/raft/status.go
+++ b/raft/status.go
@@ -9,6 +9,9 @@
 	RecentlyActive bool // heard from within the shortest election timeout, or new to the leader
 	Answered       bool // it has answered this leader in the current term
 	CaughtUp       bool
+	// HeardAt is when the last message of the member arrived. For one that has sent none to this leader, it
+	// is what the leader knew before its election.
+	HeardAt time.Time
 }
 
 // Status describes the state of a member.
@@ -29,6 +32,7 @@
 	// ConfirmedAt is the start of the newest round in which a majority confirmed a leader, or
 	// zero if there is no recent one. No other member was elected before it.
 	ConfirmedAt   time.Time
+	LeaderSince   time.Time  // when this leader was elected
 	ChangePending bool       // a membership change is not committed yet
 	Progress      []Progress // of the other members; only set at the leader
 }
@@ -61,6 +65,7 @@
 	if n.role == Leader {
 		s.Current = n.log.commitIndex >= n.leaderState.noOpIndex && n.majorityActive(s.Members, now)
 		s.ConfirmedAt = n.leaderState.startOf(n.confirmedRound())
+		s.LeaderSince = n.leaderState.since
 		s.Progress = n.progress(now)
 	}
 	return s
@@ -73,7 +78,7 @@
 		if p == nil {
 			continue
 		}
-		ps = append(ps, Progress{Member: m, MatchIndex: p.matchIndex, RecentlyActive: n.recentlyActive(m.ID, now), Answered: p.ackedRound > 0, CaughtUp: n.caughtUp(m.ID, now)})
+		ps = append(ps, Progress{Member: m, MatchIndex: p.matchIndex, RecentlyActive: n.recentlyActive(m.ID, now), Answered: p.ackedRound > 0, CaughtUp: n.caughtUp(m.ID, now), HeardAt: p.heardAt})
 	}
 	return ps
 }
