proxy: no request begins that cannot end before the process does

Cause: a drain interrupts sessions that wait for a request, and a caller with pauses of 40 ms never waits the 100 ms that this takes. Nobody asked whether a request can still end, and requests under way at the end were closed without an answer. Evidence: the record of the case has statements at 5.2 s of 6 s, each 40 ms after the answer before.

Refusals are true: nothing was sent, or the transaction is rolled back first. What is under way then is given up and answered, a write as in doubt. Drain takes its limit as a duration in place of a deadline of the context (TestDrainUnderLoad calls it so, and checks the same).

Before: TestStopAnswersTransactions failed 3 of 3, TestStopAnswersLongRequests 2 of 2.

--- a/host/entry.go
+++ b/host/entry.go
@@ -279,9 +279,7 @@
 	grace := e.settings.GracePeriod
 	wait := min(unreadyWait, grace/2)
 	time.Sleep(wait)
-	ctx, stop := context.WithTimeout(context.Background(), max(0, grace-wait-exitMargin))
-	defer stop()
-	e.server.Drain(ctx, max(0, grace/2-wait))
+	e.server.Drain(context.Background(), max(0, grace/2-wait), max(0, grace-wait-exitMargin))
 	e.Close()
 }
 
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -162,7 +162,7 @@
 		}
 		w.recordHolderRetry(h, err)
 		tried = append(tried, h.peer.Name)
-		if w.session.caller.Gone() || !w.now().Before(w.admitBy()) {
+		if w.session.caller.Gone() || ctx.Err() != nil || !w.now().Before(w.admitBy()) {
 			return w.session.refuse(w.reject(errs.ReasonDeadline)), true
 		}
 	}
@@ -264,7 +264,7 @@
 		h.discard() // the holder rolls back what may have run
 		w.recordHolderRetry(h, err)
 		tried = append(tried, h.peer.Name)
-		if w.session.caller.Gone() || !w.now().Before(w.admitBy()) {
+		if w.session.caller.Gone() || ctx.Err() != nil || !w.now().Before(w.admitBy()) {
 			return w.session.fail(w.reject(errs.ReasonDeadline)), true
 		}
 	}
--- a/proxy/member.go
+++ b/proxy/member.go
@@ -52,6 +52,7 @@
 	prober         *prober
 	updateLag      func(*member, group.Position)
 	use            *customerUse // of the service
+	ending         *ending      // of the server
 	cancel         context.CancelFunc
 	ctx            context.Context
 
@@ -77,7 +78,7 @@
 	m := &member{
 		dialer: d, target: Target{Addr: e.Addr, Service: e.Service, ID: e.ID}, incarnation: e.Incarnation(),
 		now: now, connQueue: newAdmissionQueue(conns, now), statementQueue: newAdmissionQueue(max(minConcurrency, e.Slots), now),
-		use: newCustomerUse(nil), concurrency: newConcurrencyLimit(e.Slots), ctx: ctx, cancel: cancel, lag: initialLag, lagUpdated: now(),
+		use: newCustomerUse(nil), ending: newEnding(), concurrency: newConcurrencyLimit(e.Slots), ctx: ctx, cancel: cancel, lag: initialLag, lagUpdated: now(),
 	}
 	m.update(e, now())
 	return m
@@ -86,7 +87,7 @@
 // newProbedMember returns a member that is probed until it is closed.
 func (v *service) newProbedMember(e roster.Entry, conns int) *member {
 	m := newMember(v.ctx, v.srv.dialer, e, conns, v.srv.now)
-	m.updateLag, m.use = v.updateLag, v.use
+	m.updateLag, m.use, m.ending = v.updateLag, v.use, v.srv.ending
 	m.prober = newProber(v, m)
 	return m
 }
@@ -272,7 +273,11 @@
 // exec runs commands on a connection and updates the lag of the member from the
 // position in the answer.
 func (c *backendConn) exec(limit time.Duration, cmds ...Command) ([]Answer, error) {
+	if !c.member.ending.begin(c) {
+		return nil, ErrNotSent
+	}
 	out, err := c.Conn.Exec(limit, cmds...)
+	c.member.ending.done(c)
 	if err == nil {
 		c.member.updateLag(c.member, c.Position())
 	}
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -307,6 +307,10 @@
 // backend server.
 func (d *borrowedLink) exchange(req Forwarded, limit time.Duration, abortable bool, gone func() bool) (Answer, error) {
 	e := d.peer
+	if !e.set.srv.ending.begin(d) {
+		return Answer{}, ErrNotProcessed
+	}
+	defer e.set.srv.ending.done(d)
 	e.set.mu.Lock()
 	d.abortable = abortable
 	e.set.mu.Unlock()
@@ -325,6 +329,9 @@
 	return a, err
 }
 
+// Close closes the link while an exchange is under way.
+func (d *borrowedLink) Close() error { return d.link.Close() }
+
 // closeWhenGone closes a link once gone reports that the caller has left. The returned function ends
 // the watch.
 func closeWhenGone(l Link, gone func() bool) (stop func()) {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -57,15 +57,19 @@
 	doc       atomic.Pointer[config.Document]
 	instances atomic.Int64 // number of instances that share the backend servers
 	draining  atomic.Bool
+	stop      atomic.Pointer[stopTimes] // nil until Drain
+	ending    *ending
 	isolated  atomic.Bool // cut off, while other instances can serve
 
 	mu       sync.Mutex
 	services map[string]*service
 	sessions map[*session]struct{}
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     tasks.Group
+	ctx         context.Context
+	cancel      context.CancelFunc
+	requests    context.Context // of the requests of callers; ends before ctx in a drain
+	endRequests context.CancelFunc
+	wg          tasks.Group
 }
 
 // Option configures a Server.
@@ -101,7 +105,7 @@
 func New(d Dialer, t *roster.Table, opts ...Option) *Server {
 	s := &Server{
 		dialer: d, roster: t, now: time.Now, log: event.Nop(), seed: 1, zones: 1, maxSessions: defaultMaxSessions,
-		services: make(map[string]*service), sessions: make(map[*session]struct{}), healthChanged: func() {},
+		services: make(map[string]*service), sessions: make(map[*session]struct{}), healthChanged: func() {}, ending: newEnding(),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -113,6 +117,7 @@
 	s.peers = newPeerSet(s)
 	s.instances.Store(1)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.requests, s.endRequests = context.WithCancel(s.ctx)
 	s.wg.Go(func() { s.followRoster(s.ctx) })
 	if s.caps != nil {
 		s.wg.Go(func() { s.freezes.run(s.ctx, s.now) })
@@ -382,10 +387,16 @@
 const drainPollInterval = 20 * time.Millisecond
 
 // Drain ends the sessions: idle ones at once, sessions in a transaction when it ends
-// or after txLimit, and those with a request in flight when it is answered. It
-// returns when no session is left or ctx ends.
-func (s *Server) Drain(ctx context.Context, txLimit time.Duration) {
+// or after txLimit, and those with a request in flight when it is answered, or answerMargin before
+// limit has passed. It returns when no session is left, after limit, or when ctx ends.
+func (s *Server) Drain(ctx context.Context, txLimit, limit time.Duration) {
+	now := s.now()
+	s.stop.Store(&stopTimes{txEnd: now.Add(txLimit), requestEnd: now.Add(limit - answerMargin)})
 	s.draining.Store(true)
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	giveUp := time.NewTimer(limit - answerMargin)
+	defer giveUp.Stop()
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
 	txCutoff := time.NewTimer(txLimit)
@@ -397,11 +408,21 @@
 			return
 		case <-txCutoff.C:
 			includeTx = true
+		case <-giveUp.C:
+			s.giveUpRequests()
 		case <-t.C:
 		}
 	}
 }
 
+// giveUpRequests ends the waits of all requests that are under way.
+func (s *Server) giveUpRequests() {
+	s.endRequests()
+	if n := s.ending.end(); n > 0 {
+		s.log.Warn().Int("requests", n).Msg("requests were given up because the instance stops; their callers get an answer")
+	}
+}
+
 // Close ends every session and waits for all goroutines of the server.
 func (s *Server) Close() {
 	s.draining.Store(true)
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -85,7 +85,14 @@
 			_ = s.caller.Refuse(leavingFault)
 			return
 		}
-		answer := s.handle(ctx, req)
+		answer, refused := s.refuseEndless(req)
+		if refused && s.tx == nil && answer.Fault == leavingFault {
+			_ = s.caller.Refuse(leavingFault)
+			return
+		}
+		if !refused {
+			answer = s.handle(s.srv.requests, req)
+		}
 		if req.Forwarded != nil {
 			v := s.srv.service(req.Forwarded.Route.Service)
 			answer.Proof, answer.Hint = v.newestProof(s.srv.now()), v.holderHint(req.Forwarded.Customer)
