relay: a holder that closes a link does not disown a request that runs

An instance that closes its links told the other side that nothing was processed, also while a request ran there, or after a panic in it. The other side sends a write to another holder then, or tells the caller of a commit that it was aborted: a write could run twice, a promise be false.

Change: the message is sent only if no request is running; otherwise the link ends without a word, and the outcome is in doubt. A refusal of a request that was not begun still sends it.

Before: case "closed while the request runs" of TestNotProcessed fails; passes now, also five times in a row and with the race detector.

--- a/relay/holder.go
+++ b/relay/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -78,6 +79,7 @@
 type codec struct {
 	stream      drpc.Stream
 	requests    chan proxy.Request
+	running     atomic.Bool // a request that Next returned has no answer yet
 	interrupted chan struct{}
 	once        sync.Once
 	readDone    chan error // receives the result of read
@@ -120,7 +122,10 @@
 
 // Refuse closes the link, without the fault: the other instance forwards the request to
 // another holder.
-func (c *codec) Refuse(*proxy.Fault) error { return c.Close() }
+func (c *codec) Refuse(*proxy.Fault) error {
+	c.running.Store(false)
+	return c.Close()
+}
 
 // Next waits for a request, at most limit if limit is not 0.
 func (c *codec) Next(limit time.Duration) (proxy.Request, error) {
@@ -135,6 +140,7 @@
 		if !ok {
 			return proxy.Request{}, eris.New("relay: the link has ended and brings no further request")
 		}
+		c.running.Store(true)
 		return req, nil
 	case <-idle:
 		return proxy.Request{}, proxy.ErrIdle
@@ -144,7 +150,13 @@
 }
 
 // Reply answers the last request that Next returned.
-func (c *codec) Reply(a proxy.Answer) error { return c.stream.MsgSend(encodeAnswer(a), encoding{}) }
+func (c *codec) Reply(a proxy.Answer) error {
+	if err := c.stream.MsgSend(encodeAnswer(a), encoding{}); err != nil {
+		return err
+	}
+	c.running.Store(false)
+	return nil
+}
 
 // Gone reports whether the other instance has closed the link, as it does when its caller leaves.
 func (c *codec) Gone() bool { return isClosed(c.stream.Context().Done()) }
@@ -153,9 +165,12 @@
 func (c *codec) Interrupt() { c.once.Do(func() { close(c.interrupted) }) }
 
 // Close tells the other instance that no further request is processed, and closes the
-// sending side of the stream.
+// sending side of the stream. While a request runs, it says nothing: that one may have been processed.
 func (c *codec) Close() error {
 	c.Interrupt()
+	if c.running.Load() {
+		return c.stream.CloseSend()
+	}
 	if err := c.stream.MsgSend(&reply{Closed: true}, encoding{}); err != nil {
 		return err
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -130,6 +130,17 @@
 				t.Error("Next returned a request after the interruption")
 			}
 		}, true},
+		{"refused", func(c proxy.Caller, _ <-chan struct{}) {
+			if _, err := c.Next(0); err == nil {
+				_ = c.Refuse(&proxy.Fault{Code: proxy.Busy})
+			}
+		}, true},
+		{"closed while the request runs", func(c proxy.Caller, release <-chan struct{}) {
+			if _, err := c.Next(0); err == nil {
+				_ = c.Close()
+				<-release
+			}
+		}, false},
 		{"silent", func(c proxy.Caller, release <-chan struct{}) {
 			if _, err := c.Next(0); err == nil {
 				<-release
