duty, ledger: starts of terms of an earlier group do not bind a new one

Change: a primary with a term below the newest recorded one shows it, since terms never decrease where a promotion stops the former primary; the later starts are dropped then. The comment on the choice of the successor is wrapped anew.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -110,8 +110,12 @@
 		Target string
 		Held   group.Position
 	}
-	// RecordTerm requests that the control log keeps where a term started. It has no outcome.
-	RecordTerm struct{ Start group.StartRange }
+	// RecordTerm requests that the control log keeps where a term started. Later terms that were recorded are
+	// dropped if Renewed is set. It has no outcome.
+	RecordTerm struct {
+		Start   group.StartRange
+		Renewed bool
+	}
 	// Promote sends the promotion order with its fencing token to the platform.
 	Promote struct {
 		Target string
@@ -442,9 +446,9 @@
 }
 
 // successor returns the status of the member that received most, leaving out logs whose end an
-// earlier promotion discarded. If commits wait for
-// replicas and the primary does not take part, every replica must have answered: any of
-// them may hold an acknowledged commit that the others lack.
+// earlier promotion discarded. If commits wait for replicas and the primary does not take part,
+// every replica must have answered: any of them may hold an acknowledged commit that the others
+// lack.
 func (s *Supervisor) successor(now time.Time) (best Status, found bool) {
 	for _, m := range s.view.Members {
 		st, answered := s.statuses[m.ID]
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -87,7 +87,11 @@
 	case duty.IssueToken:
 		return "issue token for " + a.Target
 	case duty.RecordTerm:
-		return fmt.Sprintf("record that term %d started at %d to %d", a.Start.Term, a.Start.Least, a.Start.Most)
+		out := fmt.Sprintf("record that term %d started at %d to %d", a.Start.Term, a.Start.Least, a.Start.Most)
+		if a.Renewed {
+			out += ", in a new group"
+		}
+		return out
 	case duty.Promote:
 		return fmt.Sprintf("promote %s with token %d", a.Target, a.Token)
 	case duty.Recall:
--- a/duty/terms.go
+++ b/duty/terms.go
@@ -44,7 +44,10 @@
 	if st.Err != nil || !st.Primary || !listed || s.view.Ordered == "" {
 		return nil
 	}
-	if _, known := s.view.Starts.Of(st.Term); known {
+	// Terms never decrease, so a group that was set up anew leads. A former primary may still act as one where
+	// successions overlap.
+	renewed := !s.overlap.enabled && s.view.Starts.Newest() > st.Term
+	if _, known := s.view.Starts.Of(st.Term); known && !renewed {
 		s.terms.primary, s.terms.born = m.ID, m.Born
 		return nil
 	}
@@ -55,7 +58,7 @@
 	case s.view.Ordered == st.ID && s.view.Held.Term < st.Term:
 		start.Least = s.view.Held.Offset
 	}
-	return []Action{RecordTerm{Start: start}}
+	return []Action{RecordTerm{Start: start, Renewed: renewed}}
 }
 
 // starts returns where terms started. If the member that the newest order names has led and its term was not
@@ -63,7 +66,7 @@
 func (s *Supervisor) starts() group.Starts {
 	starts, held := s.view.Starts, s.view.Held
 	led := s.view.Ordered != "" && s.view.Ordered == s.oldPrimary
-	if recorded := len(starts) > 0 && starts[len(starts)-1].Term > held.Term; !led || held.IsZero() || recorded {
+	if !led || held.IsZero() || starts.Newest() > held.Term {
 		return starts
 	}
 	return starts.With(group.StartRange{Term: held.Term + 1, Least: held.Offset, Most: group.StartUnknown})
--- a/group/starts.go
+++ b/group/starts.go
@@ -35,6 +35,19 @@
 	return out[max(0, len(out)-maxStarts):]
 }
 
+// Until returns the terms up to the given one.
+func (s Starts) Until(term uint64) Starts {
+	return slices.DeleteFunc(slices.Clone(s), func(r StartRange) bool { return r.Term > term })
+}
+
+// Newest returns the newest term, or 0 for an empty list.
+func (s Starts) Newest() uint64 {
+	if len(s) == 0 {
+		return 0
+	}
+	return s[len(s)-1].Term
+}
+
 // Of returns what is known of a term.
 func (s Starts) Of(term uint64) (r StartRange, known bool) {
 	for _, r := range s {
--- a/host/duty.go
+++ b/host/duty.go
@@ -12,7 +12,6 @@
 
 	"tamarackcross/duty"
 	"tamarackcross/event"
-	"tamarackcross/group"
 	"tamarackcross/ledger"
 	"tamarackcross/proxy"
 	"tamarackcross/raft"
@@ -188,7 +187,7 @@
 		case duty.IssueToken:
 			s.runAction(service, func() duty.Event { return s.issueToken(ctx, service, a) })
 		case duty.RecordTerm:
-			s.wg.Go(func() { s.recordTerm(ctx, service, a.Start) })
+			s.wg.Go(func() { s.recordTerm(ctx, service, a) })
 		case duty.Promote:
 			s.runAction(service, func() duty.Event { return s.promote(ctx, service, a) })
 		case duty.Recall:
@@ -336,14 +335,14 @@
 }
 
 // recordTerm commits where a term started. If that fails, the supervisor requests it again.
-func (s *supervision) recordTerm(ctx context.Context, service string, start group.StartRange) {
+func (s *supervision) recordTerm(ctx context.Context, service string, a duty.RecordTerm) {
 	ctx, stop := context.WithTimeout(ctx, tokenTimeout)
 	defer stop()
-	cmd, err := ledger.Encode(ledger.RecordTerm{Service: service, Start: start})
+	cmd, err := ledger.Encode(ledger.RecordTerm{Service: service, Start: a.Start, Renewed: a.Renewed})
 	if err == nil {
 		_, err = s.c.node.ProposeData(ctx, cmd)
 	}
-	s.log.Info().Err(err).Str("service", service).Uint64("term", start.Term).Uint64("least", start.Least).Uint64("most", start.Most).
+	s.log.Info().Err(err).Str("service", service).Uint64("term", a.Start.Term).Uint64("least", a.Start.Least).Uint64("most", a.Start.Most).Bool("renewed", a.Renewed).
 		Msg("start of a term recorded; logs of earlier terms beyond it are not promoted")
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -38,10 +38,12 @@
 	Held group.Position `json:",omitzero"`
 }
 
-// RecordTerm records where a term of Service started.
+// RecordTerm records where a term of Service started. If Renewed is set, the group was set up anew, and
+// later terms that were recorded are those of an earlier group.
 type RecordTerm struct {
 	Service string
 	Start   group.StartRange
+	Renewed bool `json:",omitempty"`
 }
 
 // CloseOrders records that the platform will not carry out the orders of Service with these
@@ -236,7 +238,11 @@
 	if l.state.Starts == nil {
 		l.state.Starts = make(map[string]group.Starts)
 	}
-	l.state.Starts[c.Service] = l.state.Starts[c.Service].With(c.Start)
+	starts := l.state.Starts[c.Service]
+	if c.Renewed {
+		starts = starts.Until(c.Start.Term)
+	}
+	l.state.Starts[c.Service] = starts.With(c.Start)
 	return TermRecorded{}
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -102,6 +102,10 @@
 	if diff := cmp.Diff(group.Starts{{Term: 2, Least: 8, Most: 9}}, restored.Starts("s")); diff != "" {
 		t.Error(diff)
 	}
+	apply(t, restored, 5, ledger.RecordTerm{Service: "other", Start: group.StartRange{Term: 1, Least: 0, Most: 3}, Renewed: true})
+	if diff := cmp.Diff(group.Starts{{Term: 1, Least: 0, Most: 3}}, restored.Starts("other")); diff != "" {
+		t.Error(diff)
+	}
 	if order, _ := restored.PromotionOrder("s"); order.Held != (group.Position{Term: 1, Offset: 8}) {
 		t.Errorf("the target of the order held %v", order.Held)
 	}
