proxy: requests that a stopping instance refuses are logged; clearer names

On-call engineers would have found nothing about a request that was refused since it could not end before the instance stops. One line by its id says so, with its time limit.

refuseEndless is refuseIfStopping, canEnd is canFinish: the old names needed their comments.

--- a/proxy/ending.go
+++ b/proxy/ending.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"tamarackcross/errs"
+	"tamarackcross/event"
 )
 
 // When the instance stops, a request that is under way when its time has passed would lose its answer with the
@@ -57,15 +60,15 @@
 	requestEnd time.Time // requests under way are given up then
 }
 
-// canEnd reports whether a request with a time limit that begins now ends before it would be given up. Open
+// canFinish reports whether a request with a time limit that begins now ends before it would be given up. Open
 // transactions have a time of their own.
-func (t stopTimes) canEnd(limit time.Duration, inTx bool, now time.Time) bool {
+func (t stopTimes) canFinish(limit time.Duration, inTx bool, now time.Time) bool {
 	return inTx && now.Before(t.txEnd) || !now.Add(limit).After(t.requestEnd)
 }
 
-// refuseEndless returns the answer to a request that could not end before the instance stops, or false. An open
+// refuseIfStopping returns the answer to a request that could not end before the instance stops, or false. An open
 // transaction is rolled back. A refused request outside a transaction also ends the session.
-func (s *session) refuseEndless(req Request) (a Answer, refused bool) {
+func (s *session) refuseIfStopping(req Request) (a Answer, refused bool) {
 	stop := s.srv.stop.Load()
 	if stop == nil || s.failed {
 		return Answer{}, false
@@ -86,10 +89,12 @@
 	if req.Forwarded != nil {
 		r, known, inTx = req.Forwarded.Route, true, inTx && !req.Forwarded.NewUnit
 	}
-	if !known || stop.canEnd(r.Timeout, inTx, s.srv.now()) {
+	if !known || stop.canFinish(r.Timeout, inTx, s.srv.now()) {
 		return Answer{}, false
 	}
 	s.srv.stats.Refused(errs.ReasonShutdown)
+	s.srv.log.Request(zerolog.InfoLevel).Str(event.ID, req.ID).Str(event.Database, r.Database).Str(event.Outcome, event.OutcomeNotRun).
+		Bool("in_transaction", inTx).Dur("limit_ms", r.Timeout).Msg("refused: the request could not end before the instance stops")
 	if !inTx {
 		return s.refuse(leavingFault), true
 	}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -85,7 +85,7 @@
 			_ = s.caller.Refuse(leavingFault)
 			return
 		}
-		answer, refused := s.refuseEndless(req)
+		answer, refused := s.refuseIfStopping(req)
 		if refused && s.tx == nil && answer.Fault == leavingFault {
 			_ = s.caller.Refuse(leavingFault)
 			return
