--- a/review/stand3/group.go
+++ b/review/stand3/group.go
@@ -40,6 +40,8 @@
 	members []*member
 	primary *member // nil after a step down until the next promotion
 	token   int     // newest fencing token that the platform has seen
+	late    lateOrder
+	ordered *member // by the newest order of promotion
 }
 
 // add appends a commit to the log of the primary.
@@ -50,6 +52,7 @@
 		c.arrives[m] = c.at.Add(500*time.Microsecond + delay)
 	}
 	g.log = append(g.log, c)
+	g.primary.received, g.primary.applied = len(g.log), len(g.log)
 	return c
 }
 
@@ -116,7 +119,7 @@
 	}
 	for _, m := range g.members {
 		if m.id == id && !m.down {
-			g.token = token
+			g.token, g.ordered = token, m
 			return true
 		}
 	}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -70,8 +70,11 @@
 }
 
 var cases = map[string]func(root, dir string, rec *record, trouble string) error{
-	"skipped-replica": skippedReplica,
-	"unknown-replica": unknownReplica,
+	"skipped-replica":   skippedReplica,
+	"unknown-replica":   unknownReplica,
+	"killed-at-start":   killedAtStart,
+	"late-resume":       lateResume,
+	"restarted-replica": restartedReplica,
 }
 
 // load runs writers until the returned function is called, which reports what they saw.
--- a/review/stand3/member.go
+++ b/review/stand3/member.go
@@ -80,6 +80,7 @@
 	m.received = min(m.received, len(m.group.log))
 	m.applied = m.received
 	m.group.mu.Unlock()
+	m.roleChanged() // announces its start
 	return m.listen()
 }
 
@@ -143,6 +144,10 @@
 		if !c.awaitPath() {
 			return
 		}
+		if len(words) > 2 && words[1] == "-" && m.takeLate(words[2]) {
+			_, _ = r.ReadString('\n') // until the other end gives up
+			return
+		}
 		out, end := c.answer(words, full)
 		if !c.awaitPath() {
 			return
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -103,9 +103,8 @@
 	return "", fmt.Errorf("no free loopback addresses")
 }
 
-// startAll starts the platform, the members and all processes, and waits until a configuration is
-// acknowledged and a write is served.
-func (s *site) startAll() error {
+// startPlatform starts the platform and the members.
+func (s *site) startPlatform() error {
 	l, err := net.Listen("tcp4", s.prefix+"5"+cloudPort)
 	if err != nil {
 		return err
@@ -120,14 +119,23 @@
 	for _, g := range s.groups {
 		s.wg.Go(func() { g.replicate(s.stop) })
 	}
+	for _, m := range s.members() {
+		s.wg.Go(func() { m.sendHeartbeats(s.stop) })
+	}
+	return nil
+}
+
+// startAll starts the platform, the members and all processes, and waits until a configuration is
+// acknowledged and a write is served.
+func (s *site) startAll() error {
+	if err := s.startPlatform(); err != nil {
+		return err
+	}
 	for _, p := range append(append([]*proc{}, s.controls...), s.entries...) {
 		if err := s.start(p); err != nil {
 			return err
 		}
 	}
-	for _, m := range s.members() {
-		s.wg.Go(func() { m.sendHeartbeats(s.stop) })
-	}
 	if err := s.putConfig(1); err != nil {
 		return err
 	}
@@ -293,9 +301,12 @@
 }
 
 // putConfig sends a configuration until it is acknowledged.
-func (s *site) putConfig(version int) error {
+func (s *site) putConfig(version int) error { return s.putConfigFor(version, 15*time.Second) }
+
+// putConfigFor does so for the given time.
+func (s *site) putConfigFor(version int, limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
-	for end, i := time.Now().Add(15*time.Second), 0; time.Now().Before(end); i++ {
+	for end, i := time.Now().Add(limit), 0; time.Now().Before(end); i++ {
 		n := s.controls[i%len(s.controls)]
 		resp, err := client.Post("http://"+n.ip+controlPort+"/api/config/put", "application/json", bytes.NewReader(s.config(version)))
 		if err == nil {
@@ -308,7 +319,7 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	return fmt.Errorf("configuration %d was not acknowledged", version)
+	return fmt.Errorf("configuration %d was not acknowledged within %v", version, limit)
 }
 
 // awaitReady waits until all entries are ready and serve a write.
--- a/review/stand3/sync_cases.go
+++ b/review/stand3/sync_cases.go
@@ -126,3 +126,135 @@
 	time.Sleep(3 * time.Second)
 	return s.finish(end)
 }
+
+const (
+	// shortCrash is how long the first primary is down.
+	shortCrash = 2500 * time.Millisecond
+	// betweenFaults is the time from the return of the first primary until the next one is partitioned.
+	betweenFaults = 2 * time.Second
+)
+
+// lateResume: a primary crashes and is replaced. The order to the other replica to receive again is left
+// unanswered, and is carried out seconds later: while the new primary, which is partitioned from control
+// and from most entries, is being replaced.
+func lateResume(root, dir string, rec *record, trouble string) error {
+	s, err := newSite(root, dir, 5, 1, rec)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	g := s.group
+	g.primary = g.members[2]
+	if err := s.startAll(); err != nil {
+		return err
+	}
+	end := s.load(5, 60*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	if trouble == noTrouble {
+		time.Sleep(20 * time.Second)
+		return s.finish(end)
+	}
+	first := g.leader()
+	g.mu.Lock()
+	first.crashLocked()
+	rec.note("the primary %s crashes", first.id)
+	g.mu.Unlock()
+	crashed := time.Now()
+	second := g.awaitLeader(first, 5*time.Second)
+	if second == nil {
+		return fmt.Errorf("the primary was not replaced in time")
+	}
+	if trouble != noLateOrder {
+		g.mu.Lock()
+		g.late.member = g.third(first, second)
+		g.mu.Unlock()
+	}
+	time.Sleep(time.Until(crashed.Add(shortCrash)))
+	if err := first.comeBack(); err != nil {
+		return err
+	}
+	rec.note("%s is back, as a replica", first.id)
+	time.Sleep(betweenFaults)
+	cut := []string{s.entries[0].name, s.entries[1].name, s.entries[2].name}
+	for _, c := range s.controls {
+		cut = append(cut, c.name)
+	}
+	second.setCut(cut...)
+	rec.note("%s, the primary, is partitioned from control and from %v for %v", second.id, cut[:3], serverCut)
+	time.Sleep(serverCut)
+	second.setCut()
+	rec.note("the partition of %s has healed", second.id)
+	time.Sleep(5 * time.Second)
+	return s.finish(end)
+}
+
+// noLateOrder is the value of TROUBLE that leaves the late order out.
+const noLateOrder = "no-late-order"
+
+// restartTime is how long a replica is down that is started again.
+const restartTime = 300 * time.Millisecond
+
+// restartedReplica: the primary is partitioned from control and from most entries, and is being replaced.
+// A replica that control has paused for that crashes and starts again.
+func restartedReplica(root, dir string, rec *record, trouble string) error {
+	s, err := newSite(root, dir, 5, 1, rec)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	if err := s.startAll(); err != nil {
+		return err
+	}
+	end := s.load(5, 60*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	if trouble == noTrouble {
+		time.Sleep(15 * time.Second)
+		return s.finish(end)
+	}
+	g := s.group
+	first := g.leader()
+	cut := []string{s.entries[0].name, s.entries[1].name, s.entries[2].name}
+	for _, c := range s.controls {
+		cut = append(cut, c.name)
+	}
+	first.setCut(cut...)
+	rec.note("%s, the primary, is partitioned from control and from %v for %v", first.id, cut[:3], serverCut)
+	healed := time.AfterFunc(serverCut, func() {
+		first.setCut()
+		rec.note("the partition of %s has healed", first.id)
+	})
+	defer healed.Stop()
+	if trouble != noRestart {
+		m, err := s.restartPaused(4 * time.Second)
+		if err != nil {
+			return err
+		}
+		rec.note("%s is back after %v, and receives again", m.id, restartTime)
+	}
+	time.Sleep(serverCut + 5*time.Second)
+	return s.finish(end)
+}
+
+// noRestart is the value of TROUBLE that leaves the crash of the replica out.
+const noRestart = "no-restart"
+
+// restartPaused waits until both replicas are paused and a promotion is ordered, and makes the replica
+// that the order does not name crash and start again.
+func (s *site) restartPaused(limit time.Duration) (*member, error) {
+	g := s.group
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		g.mu.Lock()
+		for _, m := range g.members {
+			if m == g.primary || m.pausedTerm == 0 || g.ordered == nil || m == g.ordered {
+				continue
+			}
+			m.crashLocked()
+			s.rec.note("%s, a replica that is paused, crashes; %s", m.id, g.describe())
+			g.mu.Unlock()
+			time.Sleep(restartTime)
+			return m, m.comeBack()
+		}
+		g.mu.Unlock()
+	}
+	return nil, fmt.Errorf("no promotion was ordered in time")
+}
