--- a/review/stand3/group.go
+++ b/review/stand3/group.go
@@ -41,7 +41,6 @@
 	primary *member // nil after a step down until the next promotion
 	token   int     // newest fencing token that the platform has seen
 	late    lateOrder
-	ordered *member // by the newest order of promotion
 }
 
 // add appends a commit to the log of the primary.
@@ -119,7 +118,7 @@
 	}
 	for _, m := range g.members {
 		if m.id == id && !m.down {
-			g.token, g.ordered = token, m
+			g.token = token
 			return true
 		}
 	}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -72,9 +72,9 @@
 var cases = map[string]func(root, dir string, rec *record, trouble string) error{
 	"skipped-replica":   skippedReplica,
 	"unknown-replica":   unknownReplica,
+	"replaced-together": replacedTogether,
 	"killed-at-start":   killedAtStart,
 	"late-resume":       lateResume,
-	"restarted-replica": restartedReplica,
 }
 
 // load runs writers until the returned function is called, which reports what they saw.
--- a/review/stand3/member.go
+++ b/review/stand3/member.go
@@ -390,8 +390,11 @@
 		down, id := m.down, m.id
 		m.group.mu.Unlock()
 		if !down {
-			for range m.site.controls {
-				n := m.site.controls[next%len(m.site.controls)]
+			m.site.listMu.Lock()
+			controls := m.site.controls
+			m.site.listMu.Unlock()
+			for range controls {
+				n := controls[next%len(controls)]
 				if !m.isCut(n.name) {
 					resp, err := client.Post("http://"+n.ip+controlPort+"/api/instances/"+id+"/heartbeat", "application/json", bytes.NewReader(body))
 					if err == nil {
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -47,6 +47,7 @@
 	group     *group   // the first of them, which has the load
 	cloud     *http.Server
 	stop      chan struct{}
+	listMu    sync.Mutex // held while controls changes
 	wg        sync.WaitGroup
 }
 
