ctrl: voters that are not needed are removed when they leave or are gone

Seconds after the planned stop of the old ones one disk is lost. From then on every read of the configuration gets 503 and no change is stored, for good.

Cause: two learners that have caught up become voters together, five in all. A voter that leaves or is silent was removed only from an even number of voters, or if a spare could replace it; the stop of an instance did not even ask the leader. Both instances that are gone stayed voters of five.

Evidence: the leader logs two learners that become voters and no removal, and the stops end within 0.1 s.

Change: the settings name the disks that may be lost at once (n). A voter that leaves or is silent is removed as long as 2n+1 others remain, and is kept otherwise, also of an even number: it may come back, and its disk may be needed. The pause that makes silence count later begins with a removal, not with the arrival of successors.

The scripts of testmembers with five voters now say that two disks may be lost, which is what five voters are for; their results are the same.

Tests: ctrl TestRemovedMember, scripts together, together_leader, together_killed and together_killed_leader, and host TestPlannedStopsTogether (three cases) failed before the change, 1 of 1 each; they pass.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -186,17 +186,21 @@
 	return nil
 }
 
-// memberFor returns the member that a script names: the leader, a follower or, for
-// any other name, the unavailable one.
+// memberFor returns the member that a script names: the leader, a follower, one by its
+// name or, for any other name, the unavailable one.
 func (c *cluster) memberFor(name string) *member {
 	switch name {
 	case "leader":
 		return c.leader()
 	case "follower":
 		return c.follower()
-	default:
-		return c.unavailable
 	}
+	for _, m := range c.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return c.unavailable
 }
 
 func applyConfig(id string, base uint64) state.Command {
--- a/ctrl/handover.go
+++ b/ctrl/handover.go
@@ -15,10 +15,10 @@
 	handOverInterval = 20 * time.Millisecond
 )
 
-// HandOver gives the vote of a member that is about to stop to a learner. The member may be
-// replaced for good, and the voters have to tolerate the next failure as soon as it is gone. Only
-// the leader can do so; another member returns ErrNotLeader. HandOver returns nil once the member
-// does not vote, or if there is no learner that could replace it.
+// HandOver gives the vote of a member that is about to stop to a learner, or removes it if there are enough
+// voters without it. The member may be replaced for good, and the voters have to tolerate the next failure
+// as soon as it is gone. Only the leader can do so; another member returns ErrNotLeader. HandOver returns nil
+// once the member does not vote, or if it cannot be spared.
 func (n *Node) HandOver(ctx context.Context, id raft.ID) error {
 	for {
 		result := make(chan handOverResult, 1)
@@ -65,7 +65,7 @@
 		return raft.Output{}, handOverResult{err: ErrNotLeader}
 	}
 	n.markLeaving(id, now)
-	if !st.ChangePending && !hasSuccessor(n.memberStates(st, now)) {
+	if !st.ChangePending && !canSpareVoter(n.memberStates(st, now), n.neededVoters) {
 		return raft.Output{}, handOverResult{done: true}
 	}
 	return n.stepMembership(now), handOverResult{}
@@ -83,9 +83,8 @@
 	return ok
 }
 
-// hasSuccessor reports whether a voter that leaves can be spared, now or once a learner has caught
-// up.
-func hasSuccessor(members []memberState) bool {
+// canSpareVoter reports whether a voter that leaves can be spared, now or once a learner has caught up.
+func canSpareVoter(members []memberState, needed int) bool {
 	voters := 0
 	for _, m := range members {
 		switch {
@@ -95,7 +94,14 @@
 			return true
 		}
 	}
-	return voters%2 == 0
+	return voters > needed
+}
+
+// MayHandOver reports whether this member votes and can be spared, as far as it knows itself.
+func (n *Node) MayHandOver() bool {
+	members := n.Status().Members
+	voters := len(members.Voters())
+	return members.IsVoter(n.id) && (voters > n.neededVoters || voters < len(members))
 }
 
 // StopJoining ends the requests of this member to be added to the log, because it is about to
--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -14,10 +14,10 @@
 	// silentVoterTimeout is how long a voter is not heard from before a learner that has caught up
 	// replaces it. A voter that returns later joins again and is the next spare.
 	silentVoterTimeout = time.Second
-	// quickVoterTimeout takes its place while the voters have not changed for voterChangePause: the loss of a
+	// quickVoterTimeout takes its place while no voter has been removed for voterRemovalPause: the loss of a
 	// machine whose successor is there may be followed by the next loss at once. Six heartbeats fit into it.
 	quickVoterTimeout = 400 * time.Millisecond
-	voterChangePause  = 10 * time.Second
+	voterRemovalPause = 10 * time.Second
 	// minObservation is how long a new leader waits for answers before it replaces a voter that it had not
 	// heard from before its election.
 	minObservation = 100 * time.Millisecond
@@ -37,23 +37,27 @@
 // nextChange returns the membership change that is due, and why, or nil. Other members than the
 // initial ones may join if open is set. A voter that has been silent for silentLimit may be replaced.
 //
+// A voter that leaves or is silent may be gone for good, and the others have to bear the next loss of a disk
+// without it. So it is removed if at least needed voters remain. With fewer it is kept: it may come back, and
+// the log may need its disk if others are lost meanwhile.
+//
 // An ID whose address another member has taken over has lost its disk and will never answer again.
 // It is removed before the new ID becomes a voter: the majority needs as many of the remaining
 // voters either way, and if the disk is lost again meanwhile, one lost voter is counted and not
 // two. A voter that is only silent may return with its disk. It is removed after a learner has
 // replaced it, so that the log survives in between if any one disk is lost.
-func nextChange(members []memberState, open bool, silentLimit time.Duration) (raft.Change, string) {
+func nextChange(members []memberState, open bool, needed int, silentLimit time.Duration) (raft.Change, string) {
 	if id := replacedMember(members); id != 0 {
 		return raft.Remove{ID: id}, "another member is active at its address"
 	}
 	voters := slices.DeleteFunc(slices.Clone(members), func(m memberState) bool { return m.Learner })
 	silent, leaving := longestSilent(voters), leavingVoter(voters)
-	if open && len(voters)%2 == 0 {
-		switch {
-		case silent.ID != 0:
-			return raft.Remove{ID: silent.ID}, "it is silent, and an odd number of voters tolerates as many failures"
+	if open && len(voters) > needed {
+		switch even := len(voters)%2 == 0; {
+		case silent.ID != 0 && (even || silent.silent >= silentLimit):
+			return raft.Remove{ID: silent.ID}, "it is silent, and there are enough voters without it"
 		case leaving != 0:
-			return raft.Remove{ID: leaving}, "it stops, and an odd number of voters tolerates as many failures"
+			return raft.Remove{ID: leaving}, "it stops, and there are enough voters without it"
 		}
 	}
 	replace := open && (leaving != 0 || silent.silent >= silentLimit)
@@ -237,7 +241,7 @@
 	if st.ChangePending || !st.Current {
 		return raft.Output{}
 	}
-	change, reason := nextChange(n.memberStates(st, now), n.openMembership, n.silentLimit(now))
+	change, reason := nextChange(n.memberStates(st, now), n.openMembership, n.neededVoters, n.silentLimit(now))
 	if change == nil {
 		return raft.Output{}
 	}
@@ -250,16 +254,16 @@
 // silentLimit returns how long a voter has to be silent before a spare replaces it. Replacements must not follow each
 // other closely where links lose packets.
 func (n *Node) silentLimit(now time.Time) time.Duration {
-	if !n.votersChangedAt.IsZero() && now.Sub(n.votersChangedAt) < voterChangePause {
+	if !n.voterRemovedAt.IsZero() && now.Sub(n.voterRemovedAt) < voterRemovalPause {
 		return silentVoterTimeout
 	}
 	return quickVoterTimeout
 }
 
-// recordVoters records when the voters changed, whoever leads.
+// recordVoters records when a voter was removed, whoever leads.
 func (n *Node) recordVoters(voters []raft.ID, now time.Time) {
-	if len(n.voters) > 0 && !slices.Equal(n.voters, voters) {
-		n.votersChangedAt = now
+	if slices.ContainsFunc(n.voters, func(id raft.ID) bool { return !slices.Contains(voters, id) }) {
+		n.voterRemovedAt = now
 	}
 	n.voters = voters
 }
--- a/ctrl/membership_test.go
+++ b/ctrl/membership_test.go
@@ -25,6 +25,10 @@
 // learner can take it, and against fewer voters when none can.
 func TestLeavingVoter(t *testing.T) { runMembershipScript(t, "testmembers/leaving") }
 
+// TestSurplusVoters guards against voters that are gone for good and not replaced, since they were replaced before: with
+// them the log does not survive the next lost disk. Voters that may come back are kept where their disks may be needed.
+func TestSurplusVoters(t *testing.T) { runMembershipScript(t, "testmembers/surplus") }
+
 // runMembershipScript applies all changes that are due to the members of each script. After each
 // step it prints the members, with "!" behind those that do not answer, and the voters that the log
 // cannot lose as well.
@@ -37,7 +41,7 @@
 		var out strings.Builder
 		fmt.Fprintf(&out, "%s\n", describeMembers(members))
 		for range 10 {
-			change, _ := nextChange(members, d.HasArg("open"), silentVoterTimeout)
+			change, _ := nextChange(members, d.HasArg("open"), neededFor(t, d), silentVoterTimeout)
 			if change == nil {
 				return out.String()
 			}
@@ -48,6 +52,18 @@
 	})
 }
 
+// neededFor returns the number of voters that are needed to survive as many lost disks as a script says, 1 by
+// default.
+func neededFor(t *testing.T, d *datadriven.TestData) int {
+	disks := 1
+	if d.HasArg("disks") {
+		d.ScanArgs(t, "disks", &disks)
+	}
+	var n Node
+	WithDiskLosses(disks)(&n)
+	return n.neededVoters
+}
+
 // parseMember reads a member: ID, address and words on its state.
 func parseMember(t *testing.T, line string) memberState {
 	words := strings.Fields(line)
@@ -201,7 +217,7 @@
 			st := status(true, tt.answered) // at a new leader
 			n.silence.update(st, now)
 			got := "none"
-			if change, _ := nextChange(n.memberStates(st, now), true, n.silentLimit(now)); change != nil {
+			if change, _ := nextChange(n.memberStates(st, now), true, minOddVoters, n.silentLimit(now)); change != nil {
 				got = describeChange(change)
 			}
 			if got != tt.want {
@@ -213,7 +229,7 @@
 
 // TestQuickReplacement guards against a voter that is gone and counts as one for longer than it takes to
 // notice: its silence counts from when it was heard last, also before the election of the leader. A spare
-// replaces it soon, unless the voters have just changed.
+// replaces it soon, unless one has just been removed.
 func TestQuickReplacement(t *testing.T) {
 	const self, other, gone, spare raft.ID = 1, 2, 3, 4
 	now := time.Unix(1000, 0)
@@ -223,7 +239,7 @@
 		heard    time.Duration // since the voter was heard
 		answered bool          // whether it has answered this leader
 		leads    time.Duration // since the election
-		changed  time.Duration // since the voters changed, 0 if they have not
+		removed  time.Duration // since a voter was removed, 0 if none was
 		voting   bool          // whether the spare votes already
 		want     string
 	}{
@@ -231,9 +247,9 @@
 		{name: "too soon", heard: 350 * time.Millisecond, answered: true, leads: time.Minute, want: "none"},
 		{name: "former leader", heard: 600 * time.Millisecond, leads: 120 * time.Millisecond, want: "promote 4"},
 		{name: "may still answer", heard: 600 * time.Millisecond, leads: 50 * time.Millisecond, want: "none"},
-		{name: "removed", heard: 600 * time.Millisecond, leads: 120 * time.Millisecond, changed: 10 * time.Millisecond, voting: true, want: "remove 3"},
-		{name: "after a change", heard: 900 * time.Millisecond, answered: true, leads: time.Minute, changed: 5 * time.Second, want: "none"},
-		{name: "after a change, for longer", heard: 1100 * time.Millisecond, answered: true, leads: time.Minute, changed: 5 * time.Second, want: "promote 4"},
+		{name: "removed", heard: 600 * time.Millisecond, leads: 120 * time.Millisecond, removed: 10 * time.Millisecond, voting: true, want: "remove 3"},
+		{name: "after a removal", heard: 900 * time.Millisecond, answered: true, leads: time.Minute, removed: 5 * time.Second, want: "none"},
+		{name: "after a removal, for longer", heard: 1100 * time.Millisecond, answered: true, leads: time.Minute, removed: 5 * time.Second, want: "promote 4"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			members := raft.Members{{ID: self, Address: "a"}, {ID: other, Address: "b"}, {ID: gone, Address: "c"}, {ID: spare, Address: "d", Learner: !tt.voting}}
@@ -242,12 +258,12 @@
 			st := raft.Status{ID: self, Role: raft.Leader, Members: members, LeaderSince: ago(tt.leads), Progress: []raft.Progress{active, silent, active}}
 			st.Progress[0].Member, st.Progress[2].Member = members[1], members[3]
 			n := &Node{silence: make(silenceRecord)}
-			if tt.changed > 0 {
-				n.votersChangedAt = ago(tt.changed)
+			if tt.removed > 0 {
+				n.voterRemovedAt = ago(tt.removed)
 			}
 			n.silence.update(st, now)
 			got := "none"
-			if change, _ := nextChange(n.memberStates(st, now), true, n.silentLimit(now)); change != nil {
+			if change, _ := nextChange(n.memberStates(st, now), true, minOddVoters, n.silentLimit(now)); change != nil {
 				got = describeChange(change)
 			}
 			if got != tt.want {
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -61,6 +61,7 @@
 	ledger         Ledger // used instead of machine if set
 	openMembership bool   // members at addresses outside initial may join
 	mayBootstrap   bool   // whether the member may bootstrap a new log
+	neededVoters   int    // fewer would not survive as many lost disks as the deployment has to
 
 	store     *store.Store
 	id        raft.ID // copy of the ID in store, which only the loop may use
@@ -83,7 +84,7 @@
 	changeProposed     bool // a membership change that this member proposed may need another one after it
 	silence            silenceRecord
 	voters             []raft.ID             // of the last status
-	votersChangedAt    time.Time             // when they changed, or zero
+	voterRemovedAt     time.Time             // when one of them was removed last, or zero
 	leaving            map[raft.ID]time.Time // members that announced their stop, and until when that counts
 
 	mu         sync.Mutex
@@ -155,6 +156,7 @@
 		newDuties:    newPromoter,
 		now:          time.Now,
 		mayBootstrap: true,
+		neededVoters: minOddVoters,
 		silence:      make(silenceRecord),
 		leaving:      make(map[raft.ID]time.Time),
 		machine:      state.New(),
--- a/ctrl/option.go
+++ b/ctrl/option.go
@@ -52,9 +52,15 @@
 }
 
 // WithOpenMembership adds every member that introduces itself, and lets the leader
-// remove a silent voter if an odd number of voters remains.
+// remove voters that are not needed and are silent or leave.
 func WithOpenMembership() Option { return func(n *Node) { n.openMembership = true } }
 
+// WithDiskLosses sets how many members may lose their disks at the same time. The log keeps at least as many voters as
+// that takes, if there are so many members. The default is 1.
+func WithDiskLosses(n int) Option {
+	return func(node *Node) { node.neededVoters = max(minOddVoters, 2*n+1) }
+}
+
 // WithoutBootstrap prevents a member with an empty data directory from bootstrapping
 // a new log. It waits until the members of an existing log add it.
 func WithoutBootstrap() Option { return func(n *Node) { n.mayBootstrap = false } }
--- a/ctrl/removed_test.go
+++ b/ctrl/removed_test.go
@@ -50,11 +50,23 @@
 	i := slices.Index(c.members, m)
 	first := m.values == nil
 	m.values = &valueLedger{newest: c.newest}
-	opts := []ctrl.Option{ctrl.WithLedger(m.values), ctrl.WithOpenMembership(), ctrl.WithInitialMembers(c.addrs()[:initialHosted]...)}
-	if i >= initialHosted || !first {
-		opts = append(opts, ctrl.WithoutBootstrap())
+	opts := []ctrl.Option{ctrl.WithLedger(m.values), ctrl.WithOpenMembership()}
+	if i < initialHosted && first {
+		return append(opts, ctrl.WithInitialMembers(c.addrs()[:initialHosted]...))
 	}
-	return opts
+	return append(opts, ctrl.WithInitialMembers(c.runningAddrs()...), ctrl.WithoutBootstrap())
+}
+
+// runningAddrs returns the addresses of initialHosted members that run, which the settings of a member name when it
+// starts later than the first ones.
+func (c *cluster) runningAddrs() []string {
+	var out []string
+	for _, m := range c.members {
+		if m.node != nil && len(out) < initialHosted {
+			out = append(out, m.addr)
+		}
+	}
+	return out
 }
 
 // valueLedger lists the values that were stored.
@@ -106,6 +118,8 @@
 		})
 	case "remove":
 		c.stopMember(c.memberFor(stringArg(t, d, "at")))
+	case "leave":
+		c.leave(c.memberFor(stringArg(t, d, "at")))
 	case "leaders":
 		c.changeLeaders(intArg(t, d, "count"), durationArg(t, d, "every"))
 	case "pause":
@@ -118,12 +132,25 @@
 		c.start(m)
 	case "voters":
 		return c.awaitVoters()
+	case "grown":
+		want := intArg(t, d, "voters")
+		c.await("all members vote", func() bool { return len(c.leader().node.Status().Members.Voters()) == want })
 	default:
 		t.Fatalf("unknown command %s", d.Cmd)
 	}
 	return ""
 }
 
+// leave stops a member as planned: it asks the leader to take its vote first.
+func (c *cluster) leave(m *member) {
+	c.await("the vote of the member is handed over", func() bool {
+		ctx, stop := context.WithTimeout(context.Background(), time.Second)
+		defer stop()
+		return c.leader().node.HandOver(ctx, m.memberID) == nil
+	})
+	c.stopMember(m)
+}
+
 // store stores a value through the leader and returns all values that it then has.
 func (c *cluster) store(value string) string {
 	var values string
--- a/host/control.go
+++ b/host/control.go
@@ -147,7 +147,7 @@
 	opts := []ctrl.Option{
 		ctrl.WithName(c.settings.Name), ctrl.WithZone(c.settings.Zone), ctrl.WithInitialMembers(c.settings.Seeds...),
 		ctrl.WithDial(mesh.Dial), ctrl.WithLog(c.deps.Log.Logger), ctrl.WithClock(c.deps.Now),
-		ctrl.WithLedger(c.ledger), ctrl.WithOpenMembership(),
+		ctrl.WithLedger(c.ledger), ctrl.WithOpenMembership(), ctrl.WithDiskLosses(c.settings.DiskLosses),
 	}
 	if !c.settings.Bootstrap {
 		opts = append(opts, ctrl.WithoutBootstrap())
@@ -567,14 +567,14 @@
 // one.
 const maxHandOver = 2 * time.Second
 
-// handOver gives the vote of this instance to one that only receives the log, if there is one. The
-// platform may have started it to replace this instance.
+// handOver gives the vote of this instance to one that only receives the log, or up, if the log can spare it.
+// The platform may have started another instance to replace this one.
 func (c *Controller) handOver() {
 	c.node.StopJoining()
-	members, id := c.node.Status().Members, c.node.Identity()
-	if voters := len(members.Voters()); !members.IsVoter(id) || voters == len(members) && voters%2 == 1 {
+	if !c.node.MayHandOver() {
 		return
 	}
+	id := c.node.Identity()
 	ctx, stop := context.WithTimeout(context.Background(), maxHandOver)
 	defer stop()
 	start := c.deps.Now()
@@ -588,7 +588,7 @@
 			return err
 		})
 	c.deps.Log.Info().Err(err).Bool("votes", c.node.Status().Members.IsVoter(id)).
-		Int64("waited_ms", c.deps.Now().Sub(start).Milliseconds()).Msg("vote handed over before the stop, if another instance could take it")
+		Int64("waited_ms", c.deps.Now().Sub(start).Milliseconds()).Msg("vote given away before the stop, if the log can spare it")
 }
 
 // maxAnswerWait bounds how long a planned stop waits for the answers to requests of operators
--- a/host/host.go
+++ b/host/host.go
@@ -31,6 +31,7 @@
 	GracePeriod  time.Duration // time that the platform allows for a shutdown
 	MemoryMB     int           // memory limit in MB; 0 for none
 	MaxFiles     int           // limit of open file descriptors; 0 for none
+	DiskLosses   int           // disks of control instances that may be lost at the same time; 0 counts as 1
 	Succession   duty.Succession
 	CapBound     caps.Bound // by how much customers may exceed their caps; without a window they have none
 }
