ctrl: an instance that does not vote and is gone for good is removed

What callers saw: nothing yet. Entries are told of a control instance at an address that nobody has any more, for as long as the system runs, and call it now and then; each replacement of a spare adds one.

Cause: only voters were found silent. A learner was removed only when another member took over its address.

Change: the silence of learners is measured like that of voters; after a minute the learner is removed. It joins again if it comes back.

Tests: ctrl TestLearnerSilence and TestGoneLearner failed before the change.

--- a/ctrl/membership.go
+++ b/ctrl/membership.go
@@ -21,6 +21,9 @@
 	// minObservation is how long a new leader waits for answers before it replaces a voter that it had not
 	// heard from before its election.
 	minObservation = 100 * time.Millisecond
+	// silentLearnerTimeout is how long a learner is not heard from before it is removed. It joins again if it comes
+	// back.
+	silentLearnerTimeout = time.Minute
 	// minOddVoters is the least number of voters that is kept odd. Fewer tolerate no failure.
 	minOddVoters = 3
 )
@@ -30,7 +33,7 @@
 	raft.Member
 	active   bool          // it answered the leader recently, or is the leader
 	caughtUp bool          // a learner that has every committed entry
-	silent   time.Duration // how long it has not answered, for a voter
+	silent   time.Duration // how long it has not answered
 	leaving  bool          // it announced its stop
 }
 
@@ -50,6 +53,9 @@
 	if id := replacedMember(members); id != 0 {
 		return raft.Remove{ID: id}, "another member is active at its address"
 	}
+	if id := goneLearner(members); open && id != 0 {
+		return raft.Remove{ID: id}, "it does not vote and has been silent for long"
+	}
 	voters := slices.DeleteFunc(slices.Clone(members), func(m memberState) bool { return m.Learner })
 	silent, leaving := longestSilent(voters), leavingVoter(voters)
 	if open && len(voters) > needed {
@@ -81,6 +87,17 @@
 	return 0
 }
 
+// goneLearner returns a learner that has been silent for silentLearnerTimeout, or 0.
+func goneLearner(members []memberState) raft.ID {
+	i := slices.IndexFunc(members, func(m memberState) bool {
+		return m.Learner && !m.active && m.silent >= silentLearnerTimeout
+	})
+	if i < 0 {
+		return 0
+	}
+	return members[i].ID
+}
+
 // longestSilent returns the voter that has been silent for longest, or the zero value if all are
 // active.
 func longestSilent(voters []memberState) memberState {
@@ -123,26 +140,25 @@
 // of voters when it led before.
 const silenceMemory = 10 * time.Second
 
-// silenceRecord measures how long voters have not answered the leader. It outlasts the leadership:
+// silenceRecord measures how long members have not answered the leader. It outlasts the leadership:
 // leaders that change often would otherwise never find a voter silent for silentVoterTimeout.
 type silenceRecord map[raft.ID]silence
 
-// silence is a time in which a voter did not answer.
+// silence is a time in which a member did not answer.
 type silence struct {
 	since time.Time
 	seen  time.Time // when the leader last found it silent
 }
 
-// update records which voters are silent.
+// update records which members are silent.
 func (r silenceRecord) update(st raft.Status, now time.Time) {
 	for id := range r {
-		if !st.Members.IsVoter(id) {
+		if _, member := st.Members.Find(id); !member {
 			delete(r, id)
 		}
 	}
 	for _, p := range st.Progress {
 		switch {
-		case p.Member.Learner:
 		case !p.RecentlyActive || silentBefore(st, p, now):
 			since := now
 			if !p.HeardAt.IsZero() {
@@ -164,7 +180,7 @@
 	return !p.Answered && !p.HeardAt.IsZero() && now.Sub(p.HeardAt) >= quickVoterTimeout && now.Sub(st.LeaderSince) >= minObservation
 }
 
-// remembered reports whether a voter has not answered for silentVoterTimeout, as far as this member
+// remembered reports whether a member has not answered for silentVoterTimeout, as far as this member
 // knows from when it led last, not long ago. A new leader counts all others as active at first, but one
 // that it found silent only once it answers again.
 func (r silenceRecord) remembered(id raft.ID, now time.Time) bool {
@@ -172,7 +188,7 @@
 	return ok && now.Sub(s.since) >= silentVoterTimeout && now.Sub(s.seen) < silenceMemory
 }
 
-// of returns how long a voter has been silent.
+// of returns how long a member has been silent.
 func (r silenceRecord) of(id raft.ID, now time.Time) time.Duration {
 	if s, ok := r[id]; ok {
 		return now.Sub(s.since)
--- a/ctrl/membership_test.go
+++ b/ctrl/membership_test.go
@@ -29,6 +29,28 @@
 // them the log does not survive the next lost disk. Voters that may come back are kept where their disks may be needed.
 func TestSurplusVoters(t *testing.T) { runMembershipScript(t, "testmembers/surplus") }
 
+// TestGoneLearner guards against instances that do not vote, are gone for good and stay members: each of them is told
+// to the entries as a control instance that they could call.
+func TestGoneLearner(t *testing.T) { runMembershipScript(t, "testmembers/gone-learner") }
+
+// TestLearnerSilence guards against the silence of a learner that is not counted.
+func TestLearnerSilence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	learner := raft.Member{ID: 2, Address: "b", Learner: true}
+	st := raft.Status{ID: 1, Role: raft.Leader, Members: raft.Members{{ID: 1, Address: "a"}, learner}, Progress: []raft.Progress{
+		{Member: learner, Answered: true, HeardAt: now.Add(-silentLearnerTimeout)},
+	}}
+	n := &Node{silence: make(silenceRecord)}
+	n.silence.update(st, now)
+	got := "none"
+	if change, _ := nextChange(n.memberStates(st, now), true, minOddVoters, n.silentLimit(now)); change != nil {
+		got = describeChange(change)
+	}
+	if want := "remove 2"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
 // runMembershipScript applies all changes that are due to the members of each script. After each
 // step it prints the members, with "!" behind those that do not answer, and the voters that the log
 // cannot lose as well.
