duty: all members are compared before one is promoted

The former primary holds an acknowledged commit that the third member lacks; the third one is promoted, and the commit is gone.

Cause: once every member had answered, those that most entries get no answer from were left out, and the positions of the rest decided.

Evidence: the line on the choice names both answers, "replica in term 2, received 2/1040" and "2/1039", and the second member as the target.

Change: where commits wait for replicas and the primary does not take part, the positions of all decide; reachability and leaving only break ties. The same filter on discarded logs: what is kept of such a log has to be held by the member that is promoted, too. A pause names a term above the recorded starts, since a member that missed a promotion may refuse a lower one. The start of a term is what its first primary held at the decision.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -447,16 +447,17 @@
 
 // successor returns the status of the member that received most, leaving out logs whose end an
 // earlier promotion discarded. If commits wait for replicas and the primary does not take part,
-// every replica must have answered: any of them may hold an acknowledged commit that the others
-// lack.
+// every replica must have answered, and none may hold more of the log than the successor: any of
+// them may hold an acknowledged commit that the others lack, also one that is hard to reach or about to stop.
 func (s *Supervisor) successor(now time.Time) (best Status, found bool) {
+	compareAll := s.synced() && !s.planned
 	for _, m := range s.view.Members {
 		st, answered := s.statuses[m.ID]
 		if m.ID == s.oldPrimary {
 			continue
 		}
 		if !answered || st.Err != nil {
-			if s.synced() && !s.planned {
+			if compareAll {
 				return Status{}, false
 			}
 			continue
@@ -467,16 +468,39 @@
 		if st.Primary && !s.planned {
 			return Status{}, false // another member is the primary already and will announce it
 		}
-		if s.failing(m) || s.planned && m.Draining || s.stateOf(st.Received) == group.Discarded {
+		if !compareAll && (s.failing(m) || s.planned && m.Draining) || s.stateOf(st.Received) == group.Discarded {
 			continue
 		}
-		if !found || s.precedes(st.Received, best.Received) || !m.Draining && best.Received == st.Received {
+		if !found || s.precedes(st.Received, best.Received) || best.Received == st.Received && s.prefers(m, best.ID) {
 			best, found = st, true
 		}
 	}
+	if found && compareAll && s.surpassed(best) {
+		return Status{}, false
+	}
 	return best, found && !s.awaitClearLog(best, now)
 }
 
+// prefers reports whether a member is a better primary than another one that has received as much.
+func (s *Supervisor) prefers(m Member, than string) bool {
+	other, _ := s.member(than)
+	if s.failing(m) != s.failing(other) {
+		return !s.failing(m)
+	}
+	return !m.Draining && other.Draining
+}
+
+// surpassed reports whether a member that answered may hold commits that st lacks, in the part of its log
+// that no promotion discarded for certain.
+func (s *Supervisor) surpassed(st Status) bool {
+	for _, other := range s.statuses {
+		if other.ID != s.oldPrimary && other.Err == nil && st.Received.Less(s.starts().ClipMost(other.Received)) {
+			return true
+		}
+	}
+	return false
+}
+
 // sortedStatuses returns the answers of the members in the order of their IDs.
 func (s *Supervisor) sortedStatuses() []Status {
 	return slices.SortedFunc(maps.Values(s.statuses), func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
--- a/duty/pause.go
+++ b/duty/pause.go
@@ -50,7 +50,8 @@
 	if _, ok := s.successor(now); !ok {
 		return append(s.noteDiscarded(), s.retryLater(now)...)
 	}
-	s.pauses.term, s.pauses.overtaken = 0, false
+	// A replica that has missed a promotion may refuse a term that is not above the newest one.
+	s.pauses.term, s.pauses.overtaken = s.starts().Newest()+1, false
 	for _, st := range s.statuses {
 		s.pauses.term = max(s.pauses.term, st.Term+1)
 	}
--- a/duty/terms.go
+++ b/duty/terms.go
@@ -57,19 +57,26 @@
 		start.Least = st.Received.Offset
 	case s.view.Ordered == st.ID && s.view.Held.Term < st.Term:
 		start.Least = s.view.Held.Offset
+		if s.synced() && !s.view.Held.IsZero() {
+			start.Most = start.Least // it received nothing between the decision and the promotion
+		}
 	}
 	return []Action{RecordTerm{Start: start, Renewed: renewed}}
 }
 
 // starts returns where terms started. If the member that the newest order names has led and its term was not
-// recorded, that term started at the position that the member held, or beyond.
+// recorded, that term started at the position that the member held, or beyond unless commits wait for replicas.
 func (s *Supervisor) starts() group.Starts {
 	starts, held := s.view.Starts, s.view.Held
 	led := s.view.Ordered != "" && s.view.Ordered == s.oldPrimary
 	if !led || held.IsZero() || starts.Newest() > held.Term {
 		return starts
 	}
-	return starts.With(group.StartRange{Term: held.Term + 1, Least: held.Offset, Most: group.StartUnknown})
+	start := group.StartRange{Term: held.Term + 1, Least: held.Offset, Most: group.StartUnknown}
+	if s.synced() {
+		start.Most = start.Least
+	}
+	return starts.With(start)
 }
 
 // stateOf returns whether the log of a member that has received p was discarded in part.
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -39,6 +39,8 @@
 					}
 					starts = starts.With(r)
 					fmt.Fprintf(&out, "%v\n", starts)
+				case "most":
+					fmt.Fprintf(&out, "%s, at most to %s\n", line, starts.ClipMost(position(t, line)))
 				case "kept":
 					fmt.Fprintf(&out, "%s %s, certain to %s\n", line, starts.StateOf(position(t, line)), starts.Clip(position(t, line)))
 				case "less":
--- a/group/starts.go
+++ b/group/starts.go
@@ -83,3 +83,13 @@
 	}
 	return p
 }
+
+// ClipMost returns the end of the part of a log ending at p that no later term cut off for certain.
+func (s Starts) ClipMost(p Position) Position {
+	for _, r := range s {
+		if r.Term > p.Term {
+			p.Offset = min(p.Offset, r.Most)
+		}
+	}
+	return p
+}
