duty, ledger: orders that are carried out late do not undo a promotion

The former primary goes on to acknowledge writes until the promotion takes effect; they are gone, 26 at 25 writes a second.

Cause: a command to receive again without an answer was forgotten as soon as the replica was seen to receive.

Evidence: the log has the command without an answer 0.3 s after the first promotion and a second one that was answered; the record of the case shows the first one carried out 3.3 s later.

Change: replicas are told to receive again only if they answered that they are paused, and after the control log has recorded it. All replicas are asked once more right before the order is sent. The same for orders to promote: the log keeps those that may still be carried out, and no other member is promoted meanwhile. Commands to members are not sent by an instance that may not lead any more.

Changed scripts: those that went as far as an order have the new questions before it; sync, sync-interrupted and sync-not-paused ask before they resume; order= of the views is open= now, since the orders that may be carried out matter, not the newest one.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -40,12 +40,16 @@
 		Members      []Member // with those that wait to be admitted; see Supervisor.Admits
 		Instances    int      // instances that probe the members
 		SyncReplicas int      // replicas that hold a commit when it is acknowledged
-		Order        uint64   // token of the newest promotion order, or 0
-		Ordered      string   // member that this order names, or empty
+		Ordered      string   // member that the newest promotion order names, or empty
 		// Held is a position that Ordered held when that order was decided, or zero.
 		Held      group.Position
 		Starts    group.Starts // where terms started, as far as it was recorded
 		Appointed string       // the same where successions overlap, otherwise empty
+		// Open lists the promotion orders that may still be carried out. They are recorded where commits wait for
+		// replicas or successions overlap.
+		Open []OpenOrder
+		// Resume is the token of the newest OpenResume that was not closed, or 0.
+		Resume uint64
 		// MayPromote and Reassert matter only where successions overlap. MayPromote means that
 		// no instance relies on the primary any more. Reassert means that an open order for
 		// another member may have been carried out, so that the appointed one must be promoted
@@ -56,6 +60,9 @@
 	// failed. Busy is set as well if the member answered that it is overloaded.
 	Status struct {
 		ID         string
+		Round      uint64 // of the action
+		Resumed    bool   // the action was Resume
+		Refused    bool   // the call failed, and the member will not carry it out later
 		Busy       bool
 		Primary    bool
 		Term       uint64
@@ -89,27 +96,40 @@
 
 // The actions.
 type (
-	// AskStatus requests the status of a member.
-	AskStatus struct{ ID string }
+	// AskStatus requests the status of a member. Round comes back with the answer, as it does for the
+	// commands below.
+	AskStatus struct {
+		ID    string
+		Round uint64
+	}
 	// StepDown makes a member a replica if it is the primary of a term below Term.
 	StepDown struct {
-		ID   string
-		Term uint64
+		ID    string
+		Term  uint64
+		Round uint64
 	}
 	// Pause makes a replica stop receiving until Resume or a promotion. Term must be above its
 	// own.
 	Pause struct {
-		ID   string
-		Term uint64
+		ID    string
+		Term  uint64
+		Round uint64
 	}
 	// Resume makes a paused replica receive again.
 	Resume struct{ ID string }
+	// OpenResume requests that the control log keeps that replicas may be told to receive again, until
+	// CloseResume with the token that the log gives it. Neither has an outcome.
+	OpenResume  struct{}
+	CloseResume struct{ Token uint64 }
 	// IssueToken requests a fencing token from the control log. Held is a position that the target
-	// holds, or zero.
+	// holds, or zero. If Track is set, the log keeps the order as open until CloseOrders.
 	IssueToken struct {
 		Target string
 		Held   group.Position
+		Track  bool
 	}
+	// CloseOrders requests that the control log forgets open orders. It has no outcome.
+	CloseOrders struct{ Tokens []uint64 }
 	// RecordTerm requests that the control log keeps where a term started. Later terms that were recorded are
 	// dropped if Renewed is set. It has no outcome.
 	RecordTerm struct {
@@ -137,17 +157,20 @@
 	}
 )
 
-func (AskStatus) action()  {}
-func (StepDown) action()   {}
-func (Pause) action()      {}
-func (Resume) action()     {}
-func (IssueToken) action() {}
-func (RecordTerm) action() {}
-func (Promote) action()    {}
-func (Recall) action()     {}
-func (Restore) action()    {}
-func (Depose) action()     {}
-func (Note) action()       {}
+func (AskStatus) action()   {}
+func (StepDown) action()    {}
+func (Pause) action()       {}
+func (Resume) action()      {}
+func (OpenResume) action()  {}
+func (CloseResume) action() {}
+func (IssueToken) action()  {}
+func (CloseOrders) action() {}
+func (RecordTerm) action()  {}
+func (Promote) action()     {}
+func (Recall) action()      {}
+func (Restore) action()     {}
+func (Depose) action()      {}
+func (Note) action()        {}
 
 const (
 	// FailureThreshold is how long a member must not answer an instance to count as
@@ -196,6 +219,7 @@
 	catchingUp                    // waiting for the successor to receive the required position
 	awaitingRelease               // waiting until no instance relies on the old primary any more
 	issuingToken                  // waiting for a fencing token
+	verifying                     // waiting until all replicas have answered that they are still paused
 	promoting                     // waiting for the platform to accept the promotion order
 	activating                    // waiting for the promoted member to act as the primary
 )
@@ -218,8 +242,11 @@
 	statusAskedAt    time.Time
 	stepDownAttempts int
 	held             group.Position // position that the target held when it was asked last, or zero
+	round            uint64         // of the newest questions to the members
+	token            uint64         // of the order that is being verified or sent
 	overlap          overlap
 	pauses           pauses
+	orders           openOrders
 	terms            terms
 }
 
@@ -250,8 +277,9 @@
 	switch e := e.(type) {
 	case View:
 		s.view = e
-		s.recordOrder(now)
-		return s.onView(now)
+		s.recordOrders(now)
+		s.recordResume(now)
+		return append(s.closeOrders(now), s.onView(now)...)
 	case Status:
 		return s.onStatus(e, now)
 	case TokenResult:
@@ -295,12 +323,19 @@
 			// primary again.
 			return append(s.askStatuses("", false, now), Note{Text: "successor did not catch up with the former primary, members are asked again", Member: s.target})
 		}
+		out := s.resumeReplicas(now)
 		if now.Sub(s.statusAskedAt) >= statusInterval {
 			s.statusAskedAt = now
-			return []Action{AskStatus{ID: s.target}}
+			out = append(out, AskStatus{ID: s.target, Round: s.round})
 		}
+		return out
 	case awaitingRelease:
 		return append(s.pauseNewcomers(), s.awaitRelease(now)...)
+	case verifying:
+		if now.Sub(s.phaseSince) >= statusTimeout {
+			return s.onVerified(now)
+		}
+		return s.pauseNewcomers()
 	case issuingToken, promoting:
 		return s.pauseNewcomers()
 	case activating:
@@ -312,6 +347,7 @@
 		s.notBefore = now.Add(retryDelay)
 		if m.Primary {
 			s.promotedAt, s.plannedSince = now, time.Time{}
+			s.ordersDone(s.token, now)
 			return s.observeTerm(m, now)
 		}
 	}
@@ -376,8 +412,7 @@
 // members.
 func (s *Supervisor) askStatuses(primary string, planned bool, now time.Time) []Action {
 	s.oldPrimary, s.planned, s.stepDownAttempts = primary, planned, 0
-	s.statuses = make(map[string]Status)
-	s.enterPhase(collectingStatus, now)
+	s.beginRound(collectingStatus, now)
 	var out []Action
 	if !planned {
 		note := Note{Text: "primary does not answer, members are asked", Member: primary}
@@ -391,11 +426,18 @@
 		out = append(out, s.recall()...)
 	}
 	for _, m := range s.view.Members {
-		out = append(out, AskStatus{ID: m.ID})
+		out = append(out, AskStatus{ID: m.ID, Round: s.round})
 	}
 	return out
 }
 
+// beginRound enters a phase in which members are asked. Answers to earlier questions do not count any more.
+func (s *Supervisor) beginRound(p phase, now time.Time) {
+	s.round++
+	s.statuses = make(map[string]Status)
+	s.enterPhase(p, now)
+}
+
 func (s *Supervisor) allAnswered() bool { return len(s.statuses) >= len(s.view.Members) }
 
 // othersAnswered reports whether all members but a failing primary answered, and the primary
@@ -435,8 +477,13 @@
 		return append(s.noteDiscarded(), s.retryLater(now)...)
 	}
 	s.target = s.preferAppointed(best)
-	if !s.overlap.enabled {
-		s.target = s.preferOrdered(best)
+	if s.synced() {
+		target, ok := s.chooseOrdered(best, now)
+		if !ok {
+			note := Note{Text: "an order to promote a member that holds less, or does not answer, may still be carried out; no other one is promoted until it cannot be", Member: s.openTarget("", now), Statuses: s.sortedStatuses()}
+			return append(s.retryLater(now), note)
+		}
+		s.target = target
 	}
 	s.held = s.statuses[s.target].Received
 	if s.planned {
@@ -543,20 +590,27 @@
 
 func (s *Supervisor) stepDown(now time.Time) []Action {
 	s.stepDownAttempts++
+	s.round++
 	s.enterPhase(steppingDown, now)
 	return []Action{
 		Note{Text: "primary is asked to step down", Member: s.oldPrimary},
-		StepDown{ID: s.oldPrimary, Term: s.statuses[s.oldPrimary].Term + 1},
+		StepDown{ID: s.oldPrimary, Term: s.statuses[s.oldPrimary].Term + 1, Round: s.round},
 	}
 }
 
 func (s *Supervisor) onStatus(st Status, now time.Time) []Action {
-	s.recordPause(st)
+	s.recordPause(st, now)
 	return append(s.recordTerm(st), s.advance(st, now)...)
 }
 
 // advance goes on with the replacement in progress after a member has answered.
 func (s *Supervisor) advance(st Status, now time.Time) []Action {
+	switch s.phase {
+	case collectingStatus, pausing, verifying, steppingDown:
+		if st.Round != s.round {
+			return nil
+		}
+	}
 	switch s.phase {
 	case collectingStatus:
 		s.statuses[st.ID] = st
@@ -568,6 +622,11 @@
 		if s.allPaused() {
 			return s.onPaused(now)
 		}
+	case verifying:
+		s.statuses[st.ID] = st
+		if s.allPaused() {
+			return s.onVerified(now)
+		}
 	case steppingDown:
 		if st.ID == s.oldPrimary {
 			return s.onSteppedDown(st, now)
@@ -599,24 +658,37 @@
 	}
 	s.requiredPosition, s.statusAskedAt = st.Received, now
 	s.enterPhase(catchingUp, now)
-	return append(s.resumeReplicas(), AskStatus{ID: s.target})
+	return append(s.resumeReplicas(now), AskStatus{ID: s.target, Round: s.round})
 }
 
 func (s *Supervisor) issueToken(now time.Time) []Action {
 	s.enterPhase(issuingToken, now)
 	s.terms.primary = "" // the next term has to be recorded, whoever leads it
-	return []Action{IssueToken{Target: s.target, Held: s.held}}
+	return []Action{IssueToken{Target: s.target, Held: s.held, Track: s.synced() || s.overlap.enabled}}
 }
 
 func (s *Supervisor) onTokenResult(e TokenResult, now time.Time) []Action {
 	if s.phase != issuingToken || e.Target != s.target {
 		return nil
 	}
-	if e.Err != nil || s.pauses.overtaken {
+	s.token = e.Token
+	switch {
+	case e.Err != nil:
+		return s.retryLater(now)
+	case s.pauses.overtaken:
+		s.orderRefused(e.Token, now)
 		return s.retryLater(now)
+	case s.synced() && !s.planned:
+		return s.verify(now)
 	}
+	return s.promote(now)
+}
+
+// promote sends the order.
+func (s *Supervisor) promote(now time.Time) []Action {
 	s.enterPhase(promoting, now)
-	return append(s.restore(), Promote{Target: e.Target, Token: e.Token})
+	s.orderSent(s.token, now)
+	return append(s.restore(), Promote{Target: s.target, Token: s.token})
 }
 
 // onPromoteResult handles the answer of the platform. An order without an answer may
@@ -627,7 +699,10 @@
 		return nil
 	}
 	switch {
-	case e.Outdated, e.Err != nil && s.pauses.overtaken:
+	case e.Outdated:
+		s.orderRefused(e.Token, now)
+		return s.retryLater(now)
+	case e.Err != nil && s.pauses.overtaken:
 		return s.retryLater(now)
 	case e.Err != nil:
 		return s.issueToken(now)
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -23,12 +23,14 @@
 		now := start
 		s := duty.New(now, duty.WithSuccession(duty.Immediate))
 		var view duty.View
+		rounds := make(map[string]uint64) // of the last questions, by member
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
 			var step func(duty.Event)
 			step = func(e duty.Event) {
 				admitted := s.Admits(now)
 				for _, a := range s.Step(e, now) {
+					recordRound(rounds, a)
 					fmt.Fprintf(&out, "%d ms: %s\n", now.Sub(start).Milliseconds(), formatAction(a))
 				}
 				if admitted && !s.Admits(now) {
@@ -50,7 +52,7 @@
 				fmt.Fprintln(&out, s.Admits(now))
 			case "status":
 				for line := range strings.SplitSeq(d.Input, "\n") {
-					step(parseStatus(t, line))
+					step(parseStatus(t, line, rounds))
 				}
 			case "issued":
 				step(duty.TokenResult{Target: d.CmdArgs[0].Key, Token: uint64(parseInt(t, d.CmdArgs[1].Key))})
@@ -74,6 +76,18 @@
 	})
 }
 
+// recordRound records the round in which a member is asked.
+func recordRound(rounds map[string]uint64, a duty.Action) {
+	switch a := a.(type) {
+	case duty.AskStatus:
+		rounds[a.ID] = a.Round
+	case duty.StepDown:
+		rounds[a.ID] = a.Round
+	case duty.Pause:
+		rounds[a.ID] = a.Round
+	}
+}
+
 func formatAction(a duty.Action) string {
 	switch a := a.(type) {
 	case duty.AskStatus:
@@ -84,6 +98,12 @@
 		return fmt.Sprintf("pause %s for term %d", a.ID, a.Term)
 	case duty.Resume:
 		return "resume " + a.ID
+	case duty.OpenResume:
+		return "record that replicas are told to receive again"
+	case duty.CloseResume:
+		return fmt.Sprintf("record that %d is over", a.Token)
+	case duty.CloseOrders:
+		return fmt.Sprintf("close the orders %v", a.Tokens)
 	case duty.IssueToken:
 		return "issue token for " + a.Target
 	case duty.RecordTerm:
@@ -122,8 +142,13 @@
 	if d.HasArg("ordered") {
 		d.ScanArgs(t, "ordered", &view.Ordered)
 	}
-	if d.HasArg("order") {
-		d.ScanArgs(t, "order", &view.Order)
+	if d.HasArg("open") {
+		var open string
+		d.ScanArgs(t, "open", &open)
+		view.Open = parseOrders(t, open)
+	}
+	if d.HasArg("resume") {
+		d.ScanArgs(t, "resume", &view.Resume)
 	}
 	if d.HasArg("held") {
 		var held string
@@ -158,16 +183,34 @@
 	return view
 }
 
-// parseStatus reads "m1 primary term=2 received=2/17 paused=3", "m1 busy" or "m1 silent".
-func parseStatus(t *testing.T, line string) duty.Status {
+// parseOrders reads "MEMBER:TOKEN" fields that are separated by semicolons.
+func parseOrders(t *testing.T, text string) (out []duty.OpenOrder) {
+	t.Helper()
+	for field := range strings.SplitSeq(text, ";") {
+		target, token, _ := strings.Cut(field, ":")
+		out = append(out, duty.OpenOrder{Target: target, Token: uint64(parseInt(t, token))})
+	}
+	return out
+}
+
+// parseStatus reads "m1 primary term=2 received=2/17 paused=3", "m1 busy" or "m1 silent". The answer is to the last
+// question in rounds, or to the one before if it is "earlier". "resumed" marks the outcome of a command to receive
+// again, "refused" that the member will not carry it out.
+func parseStatus(t *testing.T, line string, rounds map[string]uint64) duty.Status {
 	t.Helper()
 	f := strings.Fields(line)
-	st := duty.Status{ID: f[0]}
+	st := duty.Status{ID: f[0], Round: rounds[f[0]]}
 	for _, word := range f[1:] {
 		key, value, _ := strings.Cut(word, "=")
 		switch key {
 		case "primary":
 			st.Primary = true
+		case "earlier":
+			st.Round--
+		case "resumed":
+			st.Resumed = true
+		case "refused":
+			st.Refused, st.Err = true, eris.New("refused")
 		case "busy":
 			st.Busy, st.Err = true, eris.New("busy")
 		case "silent":
--- a/duty/terms.go
+++ b/duty/terms.go
@@ -82,6 +82,9 @@
 // stateOf returns whether the log of a member that has received p was discarded in part.
 func (s *Supervisor) stateOf(p group.Position) group.PositionState { return s.starts().StateOf(p) }
 
+// isKept reports whether the log of a member that answered was certainly not discarded in part.
+func (s *Supervisor) isKept(st Status) bool { return s.stateOf(st.Received) == group.Kept }
+
 // precedes reports whether a member that has received p is a better successor than one that has
 // received q. Logs that were kept come first, and the longest of them. Of logs that may have been
 // discarded the shortest is the likeliest to have been kept.
--- a/host/duty.go
+++ b/host/duty.go
@@ -19,14 +19,16 @@
 	"tamarackcross/stats"
 )
 
-// MemberCalls calls backend servers. All calls return the status of the member.
+// MemberCalls calls backend servers. All calls return the status of the member. Those that change something
+// call maySend right before they send the command, and return ErrNotSent if it returns false or if no part of the
+// command was sent.
 type MemberCalls interface {
 	Status(ctx context.Context, t proxy.Target) (proxy.MemberStatus, error)
-	StepDown(ctx context.Context, t proxy.Target, term uint64) (proxy.MemberStatus, error)
+	// StepDown makes a member a replica if it is the primary of a term below term.
+	StepDown(ctx context.Context, t proxy.Target, term uint64, maySend func() bool) (proxy.MemberStatus, error)
 	// Pause makes a replica stop receiving if term is above its own.
-	Pause(ctx context.Context, t proxy.Target, term uint64) (proxy.MemberStatus, error)
-	// Resume makes a replica receive again. It calls maySend right before it sends the command,
-	// and returns ErrNotSent if that returns false.
+	Pause(ctx context.Context, t proxy.Target, term uint64, maySend func() bool) (proxy.MemberStatus, error)
+	// Resume makes a replica receive again.
 	Resume(ctx context.Context, t proxy.Target, maySend func() bool) (proxy.MemberStatus, error)
 }
 
@@ -144,7 +146,10 @@
 func (s *supervision) view(service string, syncReplicas int) duty.View {
 	view := duty.View{Instances: s.health.probing[service], SyncReplicas: syncReplicas}
 	order, _ := s.c.ledger.PromotionOrder(service)
-	view.Order, view.Ordered, view.Held, view.Starts = order.Token, order.Target, order.Held, s.c.ledger.Starts(service)
+	view.Ordered, view.Held, view.Starts, view.Resume = order.Target, order.Held, s.c.ledger.Starts(service), s.c.ledger.Resume(service)
+	for _, o := range order.Open {
+		view.Open = append(view.Open, duty.OpenOrder(o))
+	}
 	if s.c.giver != nil {
 		view.Appointed, view.MayPromote, view.Reassert = order.Target, s.c.giver.mayPromote(service, ""), s.c.giver.mustReassert(service)
 	}
@@ -172,30 +177,37 @@
 
 // runActions starts the actions that a supervisor decided.
 func (s *supervision) runActions(ctx context.Context, service string, actions []duty.Action) {
+	maySend := s.whileLeading()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case duty.Note:
 			s.logNote(service, a)
 		case duty.AskStatus:
-			s.runAction(service, func() duty.Event { return s.askStatus(ctx, service, a.ID) })
+			s.runAction(service, func() duty.Event { return s.askStatus(ctx, service, a) })
 		case duty.StepDown:
-			s.runAction(service, func() duty.Event { return s.stepDown(ctx, service, a) })
+			s.runAction(service, func() duty.Event { return s.stepDown(ctx, service, a, maySend) })
 		case duty.Pause:
-			s.runAction(service, func() duty.Event { return s.pause(ctx, service, a) })
+			s.runAction(service, func() duty.Event { return s.pause(ctx, service, a, maySend) })
 		case duty.Resume:
-			s.runAction(service, func() duty.Event { return s.resume(ctx, service, a.ID) })
+			s.runAction(service, func() duty.Event { return s.resume(ctx, service, a.ID, maySend) })
+		case duty.OpenResume:
+			s.wg.Go(func() { s.record(ctx, service, ledger.OpenResume{Service: service}) })
+		case duty.CloseResume:
+			s.wg.Go(func() { s.record(ctx, service, ledger.CloseResume{Service: service, Token: a.Token}) })
+		case duty.CloseOrders:
+			s.wg.Go(func() { s.record(ctx, service, ledger.CloseOrders{Service: service, Tokens: a.Tokens}) })
 		case duty.IssueToken:
 			s.runAction(service, func() duty.Event { return s.issueToken(ctx, service, a) })
 		case duty.RecordTerm:
 			s.wg.Go(func() { s.recordTerm(ctx, service, a) })
 		case duty.Promote:
-			s.runAction(service, func() duty.Event { return s.promote(ctx, service, a) })
+			s.runAction(service, func() duty.Event { return s.promote(ctx, service, a, maySend) })
 		case duty.Recall:
 			s.c.giver.setRecalled(service, true)
 		case duty.Restore:
 			s.c.giver.setRecalled(service, false)
 		case duty.Depose:
-			s.wg.Go(func() { s.depose(ctx, service, a.ID) })
+			s.wg.Go(func() { s.depose(ctx, service, a.ID, maySend) })
 		}
 	}
 }
@@ -238,11 +250,11 @@
 	})
 }
 
-func (s *supervision) askStatus(ctx context.Context, service, id string) duty.Event {
+func (s *supervision) askStatus(ctx context.Context, service string, a duty.AskStatus) duty.Event {
 	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
 	defer stop()
-	st, err := s.c.deps.Members.Status(ctx, s.target(service, id))
-	return statusEvent(id, st, err)
+	st, err := s.c.deps.Members.Status(ctx, s.target(service, a.ID))
+	return statusEvent(a.ID, a.Round, st, err)
 }
 
 // target returns the server that waits to be admitted, or that the roster lists, under id now. The
@@ -256,50 +268,55 @@
 	return proxy.Target{Service: service, ID: id}
 }
 
-func (s *supervision) stepDown(ctx context.Context, service string, a duty.StepDown) duty.Event {
+func (s *supervision) stepDown(ctx context.Context, service string, a duty.StepDown, maySend func() bool) duty.Event {
 	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
 	defer stop()
 	askedAt := s.c.deps.Now()
-	st, err := s.c.deps.Members.StepDown(ctx, s.target(service, a.ID), a.Term)
+	st, err := s.c.deps.Members.StepDown(ctx, s.target(service, a.ID), a.Term, maySend)
 	if err == nil && !st.Primary && s.c.giver != nil {
 		s.c.giver.recordStepDown(service, a.ID, askedAt)
 	}
-	return statusEvent(a.ID, st, err)
+	return statusEvent(a.ID, a.Round, st, err)
 }
 
-func (s *supervision) pause(ctx context.Context, service string, a duty.Pause) duty.Event {
+func (s *supervision) pause(ctx context.Context, service string, a duty.Pause, maySend func() bool) duty.Event {
 	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
 	defer stop()
-	st, err := s.c.deps.Members.Pause(ctx, s.target(service, a.ID), a.Term)
+	st, err := s.c.deps.Members.Pause(ctx, s.target(service, a.ID), a.Term, maySend)
 	s.log.Warn().Err(err).Str("service", service).Str("member", a.ID).Uint64("term", a.Term).Uint64("paused_term", st.PausedTerm).
 		Stringer("received", st.Received).Msg("replica was asked to stop receiving until a promotion")
-	return statusEvent(a.ID, st, err)
+	return statusEvent(a.ID, a.Round, st, err)
 }
 
-func (s *supervision) resume(ctx context.Context, service, id string) duty.Event {
+func (s *supervision) resume(ctx context.Context, service, id string, maySend func() bool) duty.Event {
 	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
 	defer stop()
-	st, err := s.c.deps.Members.Resume(ctx, s.target(service, id), s.whileLeading())
-	s.log.Warn().Err(err).Str("service", service).Str("member", id).Uint64("paused_term", st.PausedTerm).Msg("replica was asked to receive again")
-	return statusEvent(id, st, err)
+	st, err := s.c.deps.Members.Resume(ctx, s.target(service, id), maySend)
+	out := statusEvent(id, 0, st, err)
+	out.Resumed = true
+	s.log.Warn().Err(err).Str("service", service).Str("member", id).Uint64("paused_term", st.PausedTerm).Bool("refused", out.Refused).Msg("replica was asked to receive again")
+	return out
 }
 
 // depose makes a member step down if it acts as the primary.
-func (s *supervision) depose(ctx context.Context, service, id string) {
+func (s *supervision) depose(ctx context.Context, service, id string, maySend func() bool) {
 	ctx, stop := context.WithTimeout(ctx, memberCallTimeout)
 	defer stop()
 	st, err := s.c.deps.Members.Status(ctx, s.target(service, id))
 	if err == nil && st.Primary {
-		s.stepDown(ctx, service, duty.StepDown{ID: id, Term: st.Term + 1})
+		s.stepDown(ctx, service, duty.StepDown{ID: id, Term: st.Term + 1}, maySend)
 		s.log.Warn().Str("service", service).Str("member", id).Uint64("term", st.Term).Msg("member that is not appointed acted as the primary; it was asked to step down")
 	}
 }
 
 // statusEvent converts the outcome of a call to a member to an event.
-func statusEvent(id string, st proxy.MemberStatus, err error) duty.Event {
+func statusEvent(id string, round uint64, st proxy.MemberStatus, err error) duty.Status {
 	var f *proxy.Fault
-	busy := errors.As(err, &f) && f.Code == proxy.Busy
-	return duty.Status{ID: id, Busy: busy, Primary: st.Primary, Term: st.Term, PausedTerm: st.PausedTerm, Received: st.Received, Err: err}
+	faulted := errors.As(err, &f)
+	return duty.Status{
+		ID: id, Round: round, Refused: faulted || errors.Is(err, ErrNotSent), Busy: faulted && f.Code == proxy.Busy,
+		Primary: st.Primary, Term: st.Term, PausedTerm: st.PausedTerm, Received: st.Received, Err: err,
+	}
 }
 
 // issueToken commits a promotion order, whose log index is the fencing token. Only the leader
@@ -312,7 +329,7 @@
 		out.Err = errReliedOn
 		return out
 	}
-	cmd, err := ledger.Encode(ledger.OrderPromotion{Service: service, Target: a.Target, Track: s.c.giver != nil, Held: a.Held})
+	cmd, err := ledger.Encode(ledger.OrderPromotion{Service: service, Target: a.Target, Track: a.Track, Held: a.Held})
 	if err != nil {
 		out.Err = err
 		return out
@@ -336,26 +353,35 @@
 
 // recordTerm commits where a term started. If that fails, the supervisor requests it again.
 func (s *supervision) recordTerm(ctx context.Context, service string, a duty.RecordTerm) {
-	ctx, stop := context.WithTimeout(ctx, tokenTimeout)
-	defer stop()
-	cmd, err := ledger.Encode(ledger.RecordTerm{Service: service, Start: a.Start, Renewed: a.Renewed})
-	if err == nil {
-		_, err = s.c.node.ProposeData(ctx, cmd)
-	}
+	err := s.propose(ctx, ledger.RecordTerm{Service: service, Start: a.Start, Renewed: a.Renewed})
 	s.log.Info().Err(err).Str("service", service).Uint64("term", a.Start.Term).Uint64("least", a.Start.Least).Uint64("most", a.Start.Most).Bool("renewed", a.Renewed).
 		Msg("start of a term recorded; logs of earlier terms beyond it are not promoted")
 }
 
+// record commits what the supervisor of a service wants to be kept. If that fails, the supervisor requests it again.
+func (s *supervision) record(ctx context.Context, service string, command ledger.Command) {
+	err := s.propose(ctx, command)
+	s.log.Info().Err(err).Str("service", service).Str("command", fmt.Sprintf("%T%+v", command, command)).Msg("orders that may be carried out late recorded")
+}
+
+// propose commits a command within tokenTimeout.
+func (s *supervision) propose(ctx context.Context, command ledger.Command) error {
+	ctx, stop := context.WithTimeout(ctx, tokenTimeout)
+	defer stop()
+	_, err := s.c.propose(ctx, command)
+	return err
+}
+
 var errReliedOn = eris.New("instances may still rely on the former primary")
 
 // leaderValidity is how old the last confirmation of a leader may be when it sends an order. No
 // other member of control is elected sooner after it.
 const leaderValidity = raft.DefaultElectionTimeoutMin
 
-// whileLeading returns a function that reports whether this instance still leads in the present
-// term. An instance that was frozen must not send what it decided before.
+// whileLeading returns a function that reports whether this instance still leads in the term of the supervisors. An
+// instance that was frozen must not send what it decided before. Only the loop may call it.
 func (s *supervision) whileLeading() func() bool {
-	term := s.c.node.Status().Term
+	term := s.term
 	return func() bool {
 		st := s.c.node.Status()
 		return st.Role == raft.Leader && st.Term == term && s.c.deps.Now().Sub(st.ConfirmedAt) < leaderValidity
@@ -363,12 +389,12 @@
 }
 
 // promote sends a promotion order to the platform.
-func (s *supervision) promote(ctx context.Context, service string, a duty.Promote) duty.Event {
+func (s *supervision) promote(ctx context.Context, service string, a duty.Promote, maySend func() bool) duty.Event {
 	ctx, stop := context.WithTimeout(ctx, promoteTimeout)
 	defer stop()
 	sentAt := s.c.deps.Now()
 	err := s.c.deps.Promoter.Promote(ctx, PromotionOrder{
-		Service: service, Target: a.Target, DutyHolder: s.c.settings.Name, Token: a.Token, MaySend: s.whileLeading(),
+		Service: service, Target: a.Target, DutyHolder: s.c.settings.Name, Token: a.Token, MaySend: maySend,
 	})
 	if s.c.giver != nil {
 		s.closeOrders(ctx, service, s.c.giver.recordOutcome(service, a.Token, sentAt, err))
@@ -383,13 +409,7 @@
 	if len(tokens) == 0 {
 		return
 	}
-	ctx, stop := context.WithTimeout(ctx, tokenTimeout)
-	defer stop()
-	cmd, err := ledger.Encode(ledger.CloseOrders{Service: service, Tokens: tokens})
-	if err == nil {
-		_, err = s.c.node.ProposeData(ctx, cmd)
-	}
-	if err != nil {
+	if err := s.propose(ctx, ledger.CloseOrders{Service: service, Tokens: tokens}); err != nil {
 		s.log.Warn().Err(err).Str("service", service).Msg("orders could not be recorded as closed; a new leader grants no lease of the service until they cannot be carried out any more")
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -16,7 +16,8 @@
 	"tamarackcross/group"
 )
 
-// Command is a change of the ledger: PutConfig, OrderPromotion, RecordTerm, CloseOrders, OpenCaps or SettleCaps.
+// Command is a change of the ledger: PutConfig, OrderPromotion, RecordTerm, CloseOrders, OpenResume, CloseResume, OpenCaps
+// or SettleCaps.
 type Command interface{ command() }
 
 // PutConfig stores a configuration if its version is higher than the version in
@@ -53,6 +54,16 @@
 	Tokens  []uint64
 }
 
+// OpenResume records that replicas of Service may be told to receive again. Until CloseResume with the index of
+// this entry, such a command may still be carried out, and would undo a pause.
+type OpenResume struct{ Service string }
+
+// CloseResume records that commands which were sent under an OpenResume will not be carried out any more.
+type CloseResume struct {
+	Service string
+	Token   uint64
+}
+
 // OpenCaps records that the leader of Term becomes the owner of the caps of customers. It lends
 // nothing before.
 type OpenCaps struct{ Term uint64 }
@@ -64,6 +75,8 @@
 func (OrderPromotion) command() {}
 func (RecordTerm) command()     {}
 func (CloseOrders) command()    {}
+func (OpenResume) command()     {}
+func (CloseResume) command()    {}
 func (OpenCaps) command()       {}
 func (SettleCaps) command()     {}
 
@@ -87,6 +100,9 @@
 // OrdersClosed is the result of CloseOrders.
 type OrdersClosed struct{}
 
+// ResumeRecorded is the result of OpenResume and CloseResume.
+type ResumeRecorded struct{}
+
 // CapsOpened is the result of OpenCaps. First is true if there was no owner before. Otherwise Former
 // is the number of owners after the last one that settled.
 type CapsOpened struct {
@@ -104,6 +120,7 @@
 func (PromotionResult) result() {}
 func (TermRecorded) result()    {}
 func (OrdersClosed) result()    {}
+func (ResumeRecorded) result()  {}
 func (CapsOpened) result()      {}
 func (CapsSettled) result()     {}
 func (InvalidEntry) result()    {}
@@ -141,7 +158,9 @@
 	Config Config
 	Orders map[string]PromotionOrder
 	Starts map[string]group.Starts `json:",omitempty"` // of the terms of each service
-	Caps   capsState               `json:",omitzero"`
+	// Resumes holds the index of the newest OpenResume of a service that was not closed.
+	Resumes map[string]uint64 `json:",omitempty"`
+	Caps    capsState         `json:",omitzero"`
 }
 
 // capsState is what is known of the owners of the caps of customers.
@@ -153,12 +172,14 @@
 
 // record is the encoding of a command in the log. Exactly one field is set.
 type record struct {
-	Config *PutConfig      `json:",omitempty"`
-	Order  *OrderPromotion `json:",omitempty"`
-	Term   *RecordTerm     `json:",omitempty"`
-	Close  *CloseOrders    `json:",omitempty"`
-	Open   *OpenCaps       `json:",omitempty"`
-	Settle *SettleCaps     `json:",omitempty"`
+	Config  *PutConfig      `json:",omitempty"`
+	Order   *OrderPromotion `json:",omitempty"`
+	Term    *RecordTerm     `json:",omitempty"`
+	Close   *CloseOrders    `json:",omitempty"`
+	Resume  *OpenResume     `json:",omitempty"`
+	Resumed *CloseResume    `json:",omitempty"`
+	Open    *OpenCaps       `json:",omitempty"`
+	Settle  *SettleCaps     `json:",omitempty"`
 }
 
 // New returns an empty ledger.
@@ -177,6 +198,10 @@
 		return json.Marshal(record{Term: &c})
 	case CloseOrders:
 		return json.Marshal(record{Close: &c})
+	case OpenResume:
+		return json.Marshal(record{Resume: &c})
+	case CloseResume:
+		return json.Marshal(record{Resumed: &c})
 	case OpenCaps:
 		return json.Marshal(record{Open: &c})
 	case SettleCaps:
@@ -204,6 +229,10 @@
 		return l.recordTerm(*r.Term)
 	case r.Close != nil:
 		return l.closeOrders(*r.Close)
+	case r.Resume != nil:
+		return l.openResume(*r.Resume, index)
+	case r.Resumed != nil:
+		return l.closeResume(*r.Resumed)
 	case r.Open != nil:
 		return l.state.Caps.open(r.Open.Term)
 	case r.Settle != nil:
@@ -253,6 +282,22 @@
 	return OrdersClosed{}
 }
 
+func (l *Ledger) openResume(c OpenResume, token uint64) Result {
+	if l.state.Resumes == nil {
+		l.state.Resumes = make(map[string]uint64)
+	}
+	l.state.Resumes[c.Service] = token
+	return ResumeRecorded{}
+}
+
+// closeResume forgets an OpenResume, unless there is a newer one.
+func (l *Ledger) closeResume(c CloseResume) Result {
+	if l.state.Resumes[c.Service] == c.Token {
+		delete(l.state.Resumes, c.Service)
+	}
+	return ResumeRecorded{}
+}
+
 // open records an owner. The first one has no loans before it, so it counts as settled.
 func (s *capsState) open(term uint64) Result {
 	if s.First == 0 {
@@ -302,6 +347,13 @@
 	return l.state.Starts[service]
 }
 
+// Resume returns the token of the newest OpenResume of a service that was not closed, or 0.
+func (l *Ledger) Resume(service string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Resumes[service]
+}
+
 // Orders returns the latest promotion order of each service that has one.
 func (l *Ledger) Orders() map[string]PromotionOrder {
 	l.mu.Lock()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -111,6 +111,26 @@
 	}
 }
 
+// TestOpenResume guards against commands to receive again that a new leader, or one that restarts from a snapshot, does
+// not know of, and against a late close that forgets newer ones.
+func TestOpenResume(t *testing.T) {
+	l := ledger.New()
+	apply(t, l, 3, ledger.OpenResume{Service: "s"})
+	apply(t, l, 4, ledger.OpenResume{Service: "s"})
+	apply(t, l, 5, ledger.CloseResume{Service: "s", Token: 3})
+	restored := ledger.New()
+	if err := restored.Restore(l.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	if got := restored.Resume("s"); got != 4 {
+		t.Errorf("token %d, want 4", got)
+	}
+	apply(t, restored, 6, ledger.CloseResume{Service: "s", Token: 4})
+	if got := restored.Resume("s"); got != 0 {
+		t.Errorf("token %d after it was closed, want 0", got)
+	}
+}
+
 // TestUndecodableCommand guards against an undecodable log entry that is applied
 // or returns no result.
 func TestUndecodableCommand(t *testing.T) {
