duty, host, ledger: control knows the members of synchronous services after a restart

Cause: all members have to answer before one is promoted, and all were those that the roster listed. It is in memory alone, and filled by heartbeats.

Evidence: the answers in the line on the choice name one replica, and no line after the restart names the other one.

Change: the control log lists the members of services whose commits wait for replicas; one is recorded before its announcement is acknowledged. Leaders ask and compare the recorded members too. If nobody is known to have led, one member may be missing, since a commit is at two. An attempt that found nobody is repeated at once also in that case.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -24,6 +24,7 @@
 	Draining bool  // it is about to stop
 	// LeavingSince is when it was first acknowledged that it is about to stop; zero if it is not.
 	LeavingSince time.Time
+	Standing     Standing
 	// FailingInstances is the number of instances that have had no answer from it for at
 	// least FailureThreshold.
 	FailingInstances int
@@ -63,6 +64,8 @@
 		Round      uint64 // of the action
 		Resumed    bool   // the action was Resume
 		Refused    bool   // the call failed, and the member will not carry it out later
+		Down       bool   // the call failed: its address refuses connections
+		Replaced   bool   // the call failed: another server answers at its address
 		Busy       bool
 		Primary    bool
 		Term       uint64
@@ -136,6 +139,10 @@
 		Start   group.StartRange
 		Renewed bool
 	}
+	// ForgetMembers requests that the control log keeps that members do not count any more, and KeepMember that
+	// one of them counts again. They have no outcome.
+	ForgetMembers struct{ IDs []string }
+	KeepMember    struct{ ID string }
 	// Promote sends the promotion order with its fencing token to the platform.
 	Promote struct {
 		Target string
@@ -157,20 +164,22 @@
 	}
 )
 
-func (AskStatus) action()   {}
-func (StepDown) action()    {}
-func (Pause) action()       {}
-func (Resume) action()      {}
-func (OpenResume) action()  {}
-func (CloseResume) action() {}
-func (IssueToken) action()  {}
-func (CloseOrders) action() {}
-func (RecordTerm) action()  {}
-func (Promote) action()     {}
-func (Recall) action()      {}
-func (Restore) action()     {}
-func (Depose) action()      {}
-func (Note) action()        {}
+func (AskStatus) action()     {}
+func (StepDown) action()      {}
+func (Pause) action()         {}
+func (Resume) action()        {}
+func (OpenResume) action()    {}
+func (CloseResume) action()   {}
+func (IssueToken) action()    {}
+func (CloseOrders) action()   {}
+func (ForgetMembers) action() {}
+func (KeepMember) action()    {}
+func (RecordTerm) action()    {}
+func (Promote) action()       {}
+func (Recall) action()        {}
+func (Restore) action()       {}
+func (Depose) action()        {}
+func (Note) action()          {}
 
 const (
 	// FailureThreshold is how long a member must not answer an instance to count as
@@ -247,6 +256,7 @@
 	overlap          overlap
 	pauses           pauses
 	orders           openOrders
+	holders          holders
 	terms            terms
 }
 
@@ -277,6 +287,7 @@
 	switch e := e.(type) {
 	case View:
 		s.view = e
+		s.splitForgotten()
 		s.recordOrders(now)
 		s.recordResume(now)
 		return append(s.closeOrders(now), s.onView(now)...)
@@ -370,6 +381,9 @@
 // checkPrimary starts a replacement if the primary is failing or draining, or if
 // there has been none for noPrimaryTimeout.
 func (s *Supervisor) checkPrimary(now time.Time) []Action {
+	if s.synced() && now.Before(s.notBefore) {
+		return nil // without a primary the next attempt follows at once
+	}
 	if now.Before(s.notBefore) || s.synced() && now.Before(s.pauses.notBefore) || s.view.Instances == 0 || len(s.view.Members) < 2 {
 		s.noPrimarySince = time.Time{}
 		return nil
@@ -405,7 +419,7 @@
 // onWorkingPrimary handles a primary that needs no replacement.
 func (s *Supervisor) onWorkingPrimary(m Member, now time.Time) []Action {
 	s.noPrimarySince, s.plannedSince, s.terms.unclearSince = time.Time{}, time.Time{}, time.Time{}
-	return append(s.observeTerm(m, now), s.keepReceiving(m.ID, now)...)
+	return slices.Concat(s.observeTerm(m, now), s.keepReceiving(m.ID, now), s.forgetLost(m.ID, now))
 }
 
 // askStatuses starts the replacement of a primary by requesting the status of all
@@ -425,7 +439,7 @@
 		out = append(out, note)
 		out = append(out, s.recall()...)
 	}
-	for _, m := range s.view.Members {
+	for _, m := range s.askable() {
 		out = append(out, AskStatus{ID: m.ID, Round: s.round})
 	}
 	return out
@@ -438,7 +452,7 @@
 	s.enterPhase(p, now)
 }
 
-func (s *Supervisor) allAnswered() bool { return len(s.statuses) >= len(s.view.Members) }
+func (s *Supervisor) allAnswered() bool { return len(s.statuses) >= len(s.askable()) }
 
 // othersAnswered reports whether all members but a failing primary answered, and the primary
 // has had its time.
@@ -446,7 +460,7 @@
 	if s.planned || s.oldPrimary == "" || now.Sub(s.phaseSince) < oldPrimaryStatusTimeout {
 		return false
 	}
-	for _, m := range s.view.Members {
+	for _, m := range s.askable() {
 		if _, ok := s.statuses[m.ID]; !ok && m.ID != s.oldPrimary {
 			return false
 		}
@@ -465,6 +479,9 @@
 		}
 	}
 	if s.synced() && !s.planned {
+		if s.oldPrimary == "" {
+			s.oldPrimary = s.awaited()
+		}
 		return s.pauseReplicas(now)
 	}
 	return s.chooseTarget(now)
@@ -600,7 +617,7 @@
 
 func (s *Supervisor) onStatus(st Status, now time.Time) []Action {
 	s.recordPause(st, now)
-	return append(s.recordTerm(st), s.advance(st, now)...)
+	return slices.Concat(s.recordAbsence(st, now), s.recordTerm(st), s.advanceForgetting(st), s.advance(st, now))
 }
 
 // advance goes on with the replacement in progress after a member has answered.
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -102,6 +102,10 @@
 		return "record that replicas are told to receive again"
 	case duty.CloseResume:
 		return fmt.Sprintf("record that %d is over", a.Token)
+	case duty.ForgetMembers:
+		return fmt.Sprintf("forget %v", a.IDs)
+	case duty.KeepMember:
+		return "keep " + a.ID
 	case duty.CloseOrders:
 		return fmt.Sprintf("close the orders %v", a.Tokens)
 	case duty.IssueToken:
@@ -170,6 +174,10 @@
 				m.Primary = true
 			case word == "draining":
 				m.Draining = true
+			case word == "ended":
+				m.Standing = duty.Ended
+			case word == "forgotten":
+				m.Standing = duty.Forgotten
 			case strings.HasPrefix(word, "leaving="):
 				m.Draining, m.LeavingSince = true, now.Add(-time.Duration(parseInt(t, strings.TrimPrefix(word, "leaving=")))*time.Millisecond)
 			case strings.HasPrefix(word, "born="):
@@ -195,7 +203,8 @@
 
 // parseStatus reads "m1 primary term=2 received=2/17 paused=3", "m1 busy" or "m1 silent". The answer is to the last
 // question in rounds, or to the one before if it is "earlier". "resumed" marks the outcome of a command to receive
-// again, "refused" that the member will not carry it out.
+// again, "refused" that the member will not carry it out. "down" and "replaced" are failures that tell that it does not
+// run at its address.
 func parseStatus(t *testing.T, line string, rounds map[string]uint64) duty.Status {
 	t.Helper()
 	f := strings.Fields(line)
@@ -209,6 +218,10 @@
 			st.Round--
 		case "resumed":
 			st.Resumed = true
+		case "down":
+			st.Down, st.Err = true, eris.New("connection refused")
+		case "replaced":
+			st.Replaced, st.Err = true, eris.New("another server")
 		case "refused":
 			st.Refused, st.Err = true, eris.New("refused")
 		case "busy":
--- a/duty/pause.go
+++ b/duty/pause.go
@@ -76,7 +76,7 @@
 	}
 	s.beginRound(pausing, now)
 	var out []Action
-	for _, m := range s.view.Members {
+	for _, m := range s.askable() {
 		if m.ID != s.oldPrimary {
 			out = append(out, s.pause(m))
 		}
@@ -117,7 +117,7 @@
 func (s *Supervisor) verify(now time.Time) []Action {
 	s.beginRound(verifying, now)
 	var out []Action
-	for _, m := range s.view.Members {
+	for _, m := range s.askable() {
 		if m.ID != s.oldPrimary {
 			out = append(out, AskStatus{ID: m.ID, Round: s.round})
 		}
@@ -146,7 +146,7 @@
 		return nil
 	}
 	var out []Action
-	for _, m := range s.view.Members {
+	for _, m := range s.askable() {
 		if _, answered := s.statuses[m.ID]; answered && s.phase == pausing {
 			continue
 		}
@@ -258,7 +258,7 @@
 	}
 	s.pauses.auditedAt = now
 	var out []Action
-	for _, m := range s.view.Members {
+	for _, m := range append(s.askable(), s.holders.forgotten...) {
 		if m.ID != primary {
 			out = append(out, AskStatus{ID: m.ID})
 		}
--- a/host/admission.go
+++ b/host/admission.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"tamarackcross/ledger"
 	"tamarackcross/mesh"
 	"tamarackcross/raft"
 	"tamarackcross/roster"
@@ -18,7 +19,8 @@
 
 // A new member receives commits from the acknowledgement of its first announcement on. Where commits wait
 // for replicas, the old primary could acknowledge what the new member alone has received, while another
-// member is being promoted. So the leader of control, which decides on promotions, admits new members.
+// member is being promoted. So the leader of control, which decides on promotions, admits new members. It records
+// them in the control log first, so that later leaders know of them.
 
 // ErrNotAdmitted is returned for a backend server that must not receive commits yet.
 var ErrNotAdmitted = eris.New("a promotion is under way; the backend server has to announce itself again")
@@ -112,7 +114,7 @@
 // admit asks the leader to admit a server.
 func (c *Controller) admit(ctx context.Context, e roster.Entry) error {
 	if c.isLeader() {
-		if !c.admitLocally(e) {
+		if !c.admitLocally(ctx, e) {
 			return ErrNotAdmitted
 		}
 		return nil
@@ -137,17 +139,47 @@
 
 // admitLocally admits a server unless a promotion forbids it or this instance may not lead any more. A service
 // whose commits wait for no replica is always open.
-func (c *Controller) admitLocally(e roster.Entry) bool {
-	st, now := c.node.Status(), c.deps.Now()
-	if st.Role != raft.Leader || now.Sub(st.ConfirmedAt) >= leaderValidity {
+func (c *Controller) admitLocally(ctx context.Context, e roster.Entry) bool {
+	if !c.mayAdmit() {
 		return false
 	}
 	if doc := c.document(); doc == nil || doc.Services[e.Service].SyncReplicas == 0 {
 		c.announce(e)
 		return true
 	}
-	admitted := c.admission.admit(e, st.Term, now, c.announce)
+	if err := c.recordMember(ctx, e); err != nil {
+		c.deps.Log.Warn().Err(err).Str("service", e.Service).Str("member", e.ID).Msg("backend server could not be recorded as a member of its service, so that it is not admitted")
+		return false
+	}
+	if !c.mayAdmit() {
+		return false
+	}
+	admitted := c.admission.admit(e, c.node.Status().Term, c.deps.Now(), c.announce)
 	c.deps.Log.Info().Str("service", e.Service).Str("member", e.ID).Int64("born", e.Born).Bool("admitted", admitted).
 		Msg("backend server asked to be admitted; while a promotion may take effect it has to wait")
 	return admitted
 }
+
+var errEnded = eris.New("this start of the backend server has left")
+
+// recordMember records a server as a member of its service, unless it is recorded already.
+func (c *Controller) recordMember(ctx context.Context, e roster.Entry) error {
+	m := ledger.Member{ID: e.ID, Born: e.Born, Addr: e.Addr}
+	recorded := c.ledger.Members(e.Service)
+	ended := m
+	ended.State = ledger.Ended
+	switch {
+	case slices.Contains(recorded, ended):
+		return errEnded
+	case slices.Contains(recorded, m):
+		return nil
+	}
+	_, err := c.propose(ctx, ledger.RecordMembers{Service: e.Service, Members: []ledger.Member{m}})
+	return err
+}
+
+// mayAdmit reports whether this instance leads and knows all that was recorded before.
+func (c *Controller) mayAdmit() bool {
+	st := c.node.Status()
+	return st.Role == raft.Leader && st.Current && c.deps.Now().Sub(st.ConfirmedAt) < leaderValidity
+}
--- a/host/calls.go
+++ b/host/calls.go
@@ -54,11 +54,11 @@
 }
 
 // Admit admits a backend server if this instance is the leader and no promotion forbids it.
-func (h meshHandler) Admit(_ context.Context, in *mesh.AdmitRequest) (*mesh.AdmitReply, error) {
+func (h meshHandler) Admit(ctx context.Context, in *mesh.AdmitRequest) (*mesh.AdmitReply, error) {
 	if err := in.Server.Check(time.Now()); err != nil {
 		return nil, err
 	}
-	return &mesh.AdmitReply{Admitted: h.c.admitLocally(in.Server)}, nil
+	return &mesh.AdmitReply{Admitted: h.c.admitLocally(ctx, in.Server)}, nil
 }
 
 // Fetch returns a part of an encoded version of the configuration.
--- a/host/duty.go
+++ b/host/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -51,6 +52,7 @@
 	term     raft.Term // of the supervisors
 	services map[string]*duty.Supervisor
 	health   healthSummary // of the last update
+	recorded time.Time     // last attempt to record members
 	events   chan serviceEvent
 	wg       conc.WaitGroup
 }
@@ -140,6 +142,7 @@
 		s.health = health
 		s.step(ctx, name, sup, s.view(name, cfg.SyncReplicas))
 	}
+	s.recordMembers(ctx, doc, now)
 }
 
 // view returns the current state of a service.
@@ -153,9 +156,11 @@
 	if s.c.giver != nil {
 		view.Appointed, view.MayPromote, view.Reassert = order.Target, s.c.giver.mayPromote(service, ""), s.c.giver.mustReassert(service)
 	}
-	for _, e := range s.c.admission.withWaiting(service, s.c.roster.Members(service), s.c.deps.Now()) {
+	for _, m := range s.members(service, syncReplicas > 0) {
+		e := m.entry
 		view.Members = append(view.Members, duty.Member{
-			ID: e.ID, Born: e.Born, Primary: e.Primary, Draining: e.State == roster.Draining, LeavingSince: e.LeavingSince, FailingInstances: s.health.failing[memberKey{service, e.ID}],
+			ID: e.ID, Born: e.Born, Primary: e.Primary, Draining: e.State == roster.Draining, LeavingSince: e.LeavingSince, Standing: m.standing,
+			FailingInstances: s.health.failing[memberKey{service, e.ID}],
 		})
 	}
 	return view
@@ -194,6 +199,10 @@
 			s.wg.Go(func() { s.record(ctx, service, ledger.OpenResume{Service: service}) })
 		case duty.CloseResume:
 			s.wg.Go(func() { s.record(ctx, service, ledger.CloseResume{Service: service, Token: a.Token}) })
+		case duty.ForgetMembers:
+			s.wg.Go(func() { s.recordStates(ctx, service, ledger.Forgotten, a.IDs...) })
+		case duty.KeepMember:
+			s.wg.Go(func() { s.recordStates(ctx, service, ledger.Counted, a.ID) })
 		case duty.CloseOrders:
 			s.wg.Go(func() { s.record(ctx, service, ledger.CloseOrders{Service: service, Tokens: a.Tokens}) })
 		case duty.IssueToken:
@@ -257,12 +266,12 @@
 	return statusEvent(a.ID, a.Round, st, err)
 }
 
-// target returns the server that waits to be admitted, or that the roster lists, under id now. The
-// address is empty if there is none.
+// target returns the server that waits to be admitted, or that the roster or the control log lists, under id now.
+// The address is empty if there is none.
 func (s *supervision) target(service, id string) proxy.Target {
-	for _, e := range s.c.admission.withWaiting(service, s.c.roster.Members(service), s.c.deps.Now()) {
-		if e.ID == id {
-			return proxy.Target{Addr: e.Addr, Service: service, ID: id}
+	for _, m := range s.members(service, true) {
+		if m.entry.ID == id {
+			return proxy.Target{Addr: m.entry.Addr, Service: service, ID: id}
 		}
 	}
 	return proxy.Target{Service: service, ID: id}
@@ -315,6 +324,7 @@
 	faulted := errors.As(err, &f)
 	return duty.Status{
 		ID: id, Round: round, Refused: faulted || errors.Is(err, ErrNotSent), Busy: faulted && f.Code == proxy.Busy,
+		Down: errors.Is(err, syscall.ECONNREFUSED), Replaced: faulted && f.Code == proxy.Moved,
 		Primary: st.Primary, Term: st.Term, PausedTerm: st.PausedTerm, Received: st.Received, Err: err,
 	}
 }
@@ -361,7 +371,7 @@
 // record commits what the supervisor of a service wants to be kept. If that fails, the supervisor requests it again.
 func (s *supervision) record(ctx context.Context, service string, command ledger.Command) {
 	err := s.propose(ctx, command)
-	s.log.Info().Err(err).Str("service", service).Str("command", fmt.Sprintf("%T%+v", command, command)).Msg("orders that may be carried out late recorded")
+	s.log.Info().Err(err).Str("service", service).Str("command", fmt.Sprintf("%T%+v", command, command)).Msg("recorded in the control log for later leaders")
 }
 
 // propose commits a command within tokenTimeout.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -16,8 +16,8 @@
 	"tamarackcross/group"
 )
 
-// Command is a change of the ledger: PutConfig, OrderPromotion, RecordTerm, CloseOrders, OpenResume, CloseResume, OpenCaps
-// or SettleCaps.
+// Command is a change of the ledger: PutConfig, OrderPromotion, RecordTerm, CloseOrders, OpenResume, CloseResume,
+// RecordMembers, DropMembers, OpenCaps or SettleCaps.
 type Command interface{ command() }
 
 // PutConfig stores a configuration if its version is higher than the version in
@@ -76,6 +76,8 @@
 func (RecordTerm) command()     {}
 func (CloseOrders) command()    {}
 func (OpenResume) command()     {}
+func (RecordMembers) command()  {}
+func (DropMembers) command()    {}
 func (CloseResume) command()    {}
 func (OpenCaps) command()       {}
 func (SettleCaps) command()     {}
@@ -121,6 +123,7 @@
 func (TermRecorded) result()    {}
 func (OrdersClosed) result()    {}
 func (ResumeRecorded) result()  {}
+func (MembersRecorded) result() {}
 func (CapsOpened) result()      {}
 func (CapsSettled) result()     {}
 func (InvalidEntry) result()    {}
@@ -160,7 +163,9 @@
 	Starts map[string]group.Starts `json:",omitempty"` // of the terms of each service
 	// Resumes holds the index of the newest OpenResume of a service that was not closed.
 	Resumes map[string]uint64 `json:",omitempty"`
-	Caps    capsState         `json:",omitzero"`
+	// Members lists the members of the services whose commits wait for replicas.
+	Members map[string][]Member `json:",omitempty"`
+	Caps    capsState           `json:",omitzero"`
 }
 
 // capsState is what is known of the owners of the caps of customers.
@@ -178,6 +183,8 @@
 	Close   *CloseOrders    `json:",omitempty"`
 	Resume  *OpenResume     `json:",omitempty"`
 	Resumed *CloseResume    `json:",omitempty"`
+	Member  *RecordMembers  `json:",omitempty"`
+	Drop    *DropMembers    `json:",omitempty"`
 	Open    *OpenCaps       `json:",omitempty"`
 	Settle  *SettleCaps     `json:",omitempty"`
 }
@@ -202,6 +209,10 @@
 		return json.Marshal(record{Resume: &c})
 	case CloseResume:
 		return json.Marshal(record{Resumed: &c})
+	case RecordMembers:
+		return json.Marshal(record{Member: &c})
+	case DropMembers:
+		return json.Marshal(record{Drop: &c})
 	case OpenCaps:
 		return json.Marshal(record{Open: &c})
 	case SettleCaps:
@@ -233,6 +244,11 @@
 		return l.openResume(*r.Resume, index)
 	case r.Resumed != nil:
 		return l.closeResume(*r.Resumed)
+	case r.Member != nil:
+		return l.recordMembers(*r.Member)
+	case r.Drop != nil:
+		delete(l.state.Members, r.Drop.Service)
+		return MembersRecorded{}
 	case r.Open != nil:
 		return l.state.Caps.open(r.Open.Term)
 	case r.Settle != nil:
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -131,6 +132,42 @@
 	}
 }
 
+// TestMembers guards against members of a service that a restart forgets, against news of an earlier start, and against a
+// list that grows without bound.
+func TestMembers(t *testing.T) {
+	l := ledger.New()
+	index := uint64(0)
+	record := func(members ...ledger.Member) {
+		index++
+		apply(t, l, index, ledger.RecordMembers{Service: "s", Members: members})
+	}
+	record(ledger.Member{ID: "a", Born: 1, Addr: "x"}, ledger.Member{ID: "b", Born: 1, Addr: "y"})
+	record(ledger.Member{ID: "a", Born: 2, Addr: "z"})
+	record(ledger.Member{ID: "a", Born: 1, Addr: "x", State: ledger.Ended})
+	record(ledger.Member{ID: "b", Born: 1, Addr: "y", State: ledger.Ended})
+	restored := ledger.New()
+	if err := restored.Restore(l.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	want := []ledger.Member{{ID: "a", Born: 2, Addr: "z"}, {ID: "b", Born: 1, Addr: "y", State: ledger.Ended}}
+	if diff := cmp.Diff(want, restored.Members("s")); diff != "" {
+		t.Error(diff)
+	}
+	for i := range 100 {
+		record(ledger.Member{ID: strconv.Itoa(i), Born: 1, State: ledger.Forgotten})
+	}
+	if n := len(l.Members("s")); n != 2+32 {
+		t.Errorf("%d members are kept, want 34", n)
+	}
+	if got := l.Members("s"); got[0].ID != "a" || got[1].ID != "b" || got[len(got)-1].ID != "99" {
+		t.Errorf("kept %v", got)
+	}
+	apply(t, l, index+1, ledger.DropMembers{Service: "s"})
+	if got := l.ServicesWithMembers(); len(got) != 0 {
+		t.Errorf("members of %v are left", got)
+	}
+}
+
 // TestUndecodableCommand guards against an undecodable log entry that is applied
 // or returns no result.
 func TestUndecodableCommand(t *testing.T) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -399,6 +399,14 @@
 	return r != nil && r.entry.Born == inc.Born
 }
 
+// HasLeft reports whether a start of a server, or a later one, has stopped.
+func (t *Table) HasLeft(inc Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[inc.ID]
+	return r != nil && r.entry.State == Gone && r.entry.Born >= inc.Born
+}
+
 // Revision returns the number of changes so far.
 func (t *Table) Revision() uint64 {
 	t.mu.Lock()
