host: servers of a synchronous service are admitted where control orders no promotions

On a platform that takes no promotion orders from control the servers of a service with sync_replicas are never acknowledged, and without acknowledgement they receive nothing.

Cause: a service admits new members once its supervisor says so, and there are no supervisors without promotions.

Change: the leader admits them at once then.

Test: host TestAdmissionWithoutPromotions failed before.

--- a/host/admission.go
+++ b/host/admission.go
@@ -138,12 +138,12 @@
 }
 
 // admitLocally admits a server unless a promotion forbids it or this instance may not lead any more. A service
-// whose commits wait for no replica is always open.
+// whose commits wait for no replica, or whose primary control does not replace, is always open.
 func (c *Controller) admitLocally(ctx context.Context, e roster.Entry) bool {
 	if !c.mayAdmit() {
 		return false
 	}
-	if doc := c.document(); doc == nil || doc.Services[e.Service].SyncReplicas == 0 {
+	if doc := c.document(); doc == nil || doc.Services[e.Service].SyncReplicas == 0 || c.deps.Promoter == nil {
 		c.announce(e)
 		return true
 	}
