duty: an open order counts whoever is taken for the former primary

What callers would see: acknowledged commits of a synchronous service lost, after a leader was elected while an order without an answer was open.

Cause: the target of an open order did not stand in the way if it was taken for the former primary itself, since a promotion of the present primary changes nothing. But it may only have been assumed to have led, as the one member that does not answer, or may have stepped down. Then the order makes it the primary.

Evidence: in the trace the one member that does not answer is the target of two open orders; another one is promoted, the first of the orders is carried out 5 s later, and the second member's promotion after it.

Change: an open order counts in any case. The start of the term that an order would begin is not taken for known if the member is only assumed to have led. An order that this leader did not send is no obstacle: a token whose issue was in doubt kept the service without a primary for 13 s.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -245,6 +245,7 @@
 	view             View
 	planned          bool   // the old primary is to step down first
 	oldPrimary       string // empty if no member announced itself as the primary
+	assumed          bool   // oldPrimary did not announce itself, but no other member can have led
 	target           string // the successor
 	statuses         map[string]Status
 	requiredPosition group.Position // position that the successor must hold
@@ -425,7 +426,7 @@
 // askStatuses starts the replacement of a primary by requesting the status of all
 // members.
 func (s *Supervisor) askStatuses(primary string, planned bool, now time.Time) []Action {
-	s.oldPrimary, s.planned, s.stepDownAttempts = primary, planned, 0
+	s.oldPrimary, s.assumed, s.planned, s.stepDownAttempts = primary, false, planned, 0
 	s.beginRound(collectingStatus, now)
 	var out []Action
 	if !planned {
@@ -480,7 +481,7 @@
 	}
 	if s.synced() && !s.planned {
 		if s.oldPrimary == "" {
-			s.oldPrimary = s.awaited()
+			s.oldPrimary, s.assumed = s.awaited(), true
 		}
 		return s.pauseReplicas(now)
 	}
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -40,6 +40,8 @@
 			switch d.Cmd {
 			case "overlapping":
 				s = duty.New(now, duty.WithSuccession(duty.Overlapping))
+			case "elected":
+				s = duty.New(now, duty.WithSuccession(duty.Immediate))
 			case "members":
 				view = parseView(t, d, now)
 			case "wait":
@@ -55,7 +57,13 @@
 					step(parseStatus(t, line, rounds))
 				}
 			case "issued":
-				step(duty.TokenResult{Target: d.CmdArgs[0].Key, Token: uint64(parseInt(t, d.CmdArgs[1].Key))})
+				e := duty.TokenResult{Target: d.CmdArgs[0].Key}
+				if d.CmdArgs[1].Key == "lost" {
+					e.Err = eris.New("no answer")
+				} else {
+					e.Token = uint64(parseInt(t, d.CmdArgs[1].Key))
+				}
+				step(e)
 			case "called":
 				c := duty.PromoteResult{Target: d.CmdArgs[0].Key}
 				switch d.CmdArgs[1].Key {
--- a/duty/orders.go
+++ b/duty/orders.go
@@ -25,21 +25,27 @@
 
 // openOrders is what a Supervisor knows of the open orders beyond the control log.
 type openOrders struct {
+	viewed   bool                 // the first view has been seen
 	until    map[uint64]time.Time // by token: when they cannot be carried out any more
 	closedAt time.Time            // last attempt to record that
 }
 
-// recordOrders updates what is known of the orders that are open in the view. An order that is seen for the
-// first time may just have been sent, by an earlier leader.
+// recordOrders updates what is known of the orders that are open in the view. One in the first view may just have
+// been sent, by an earlier leader. Later ones are of this Supervisor, which records when it sends them.
 func (s *Supervisor) recordOrders(now time.Time) {
 	until := make(map[uint64]time.Time, len(s.view.Open))
 	for _, o := range s.view.Open {
-		until[o.Token] = now.Add(lateOrderLimit)
-		if t, known := s.orders.until[o.Token]; known {
+		t, known := s.orders.until[o.Token]
+		switch {
+		case known:
 			until[o.Token] = t
+		case s.orders.viewed:
+			until[o.Token] = now
+		default:
+			until[o.Token] = now.Add(lateOrderLimit)
 		}
 	}
-	s.orders.until = until
+	s.orders.until, s.orders.viewed = until, true
 }
 
 // orderSent records that an order is sent now.
@@ -81,7 +87,8 @@
 // closeOrders requests that the control log forgets the orders that cannot be carried out any more. Where
 // successions overlap, the leases decide about that.
 func (s *Supervisor) closeOrders(now time.Time) []Action {
-	if s.overlap.enabled || now.Sub(s.orders.closedAt) < closeInterval {
+	aboutToSend := s.phase >= issuingToken && s.phase <= promoting
+	if s.overlap.enabled || aboutToSend || now.Sub(s.orders.closedAt) < closeInterval {
 		return nil
 	}
 	var tokens []uint64
@@ -100,11 +107,8 @@
 // chooseOrdered returns the member to promote where commits wait for replicas: best, or the target of an order that
 // may still be carried out. It returns false if nobody may be promoted, since that target holds less than best.
 func (s *Supervisor) chooseOrdered(best Status, now time.Time) (id string, ok bool) {
-	primary := s.oldPrimary
-	if s.planned {
-		primary = "" // it will have stepped down
-	}
-	open := s.openTarget(primary, now)
+	// The old primary counts as well: it may have stepped down, and lead again by such an order.
+	open := s.openTarget("", now)
 	if open == "" || open == best.ID {
 		return best.ID, true
 	}
--- a/duty/terms.go
+++ b/duty/terms.go
@@ -68,7 +68,7 @@
 // recorded, that term started at the position that the member held, or beyond unless commits wait for replicas.
 func (s *Supervisor) starts() group.Starts {
 	starts, held := s.view.Starts, s.view.Held
-	led := s.view.Ordered != "" && s.view.Ordered == s.oldPrimary
+	led := s.view.Ordered != "" && s.view.Ordered == s.oldPrimary && !s.assumed
 	if !led || held.IsZero() || starts.Newest() > held.Term {
 		return starts
 	}
