duty: no member is admitted while an order is open, nor during a step down

What callers would see: acknowledged commits of a synchronous service lost.

Cause: while the primary is asked to step down, new members were admitted, because the successor has to hold all that it acknowledged. An open order for another member of an earlier attempt is not bound by that.

Evidence: in the trace a replica that had been started again is admitted 40 ms after the step down, which gets no answer; the primary goes on with it for 0.6 s until the order of 11 s ago is carried out.

Test: duty script sync-admits-planned fails without the change.

--- a/duty/pause.go
+++ b/duty/pause.go
@@ -173,10 +173,12 @@
 	switch {
 	case !s.synced():
 		return true
+	case s.openTarget(s.announcedPrimary(), now) != "":
+		return false
 	case s.phase != watching:
 		return s.planned // the primary steps down, and its successor has to hold all that it acknowledged
 	}
-	return s.openTarget(s.announcedPrimary(), now) == ""
+	return true
 }
 
 // announcedPrimary returns the member that announces itself as the primary, or "".
