duty: an order that failed at once is repeated after 100 ms

A platform that answers an order with an error at once gets the next one as soon as the log has committed it, some hundred a second, each with an entry in the log of control; where commits wait for replicas the log keeps them as open now.

Cause: an order without an answer is repeated at once, since its time limit of a second has passed, and an error was treated in the same way.

Change: at least 100 ms lie between two orders of a service.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -212,6 +212,9 @@
 	activationTimeout = 3 * time.Second
 	// retryDelay is the pause after a failed step.
 	retryDelay = 200 * time.Millisecond
+	// orderInterval is the least time between two orders to promote a member. The platform may refuse each of them
+	// at once.
+	orderInterval = 100 * time.Millisecond
 	// maxStepDownAttempts is how often a primary is asked to step down before the
 	// successor is promoted regardless.
 	maxStepDownAttempts = 3
@@ -254,6 +257,7 @@
 	held             group.Position // position that the target held when it was asked last, or zero
 	round            uint64         // of the newest questions to the members
 	token            uint64         // of the order that is being verified or sent
+	orderFailed      bool           // the order has to be repeated
 	overlap          overlap
 	pauses           pauses
 	orders           openOrders
@@ -348,8 +352,10 @@
 			return s.onVerified(now)
 		}
 		return s.pauseNewcomers()
-	case issuingToken, promoting:
+	case issuingToken:
 		return s.pauseNewcomers()
+	case promoting:
+		return append(s.pauseNewcomers(), s.repeatOrder(now)...)
 	case activating:
 		m, _ := s.member(s.target)
 		if !m.Primary && now.Sub(s.phaseSince) < activationTimeout {
@@ -705,6 +711,7 @@
 // promote sends the order.
 func (s *Supervisor) promote(now time.Time) []Action {
 	s.enterPhase(promoting, now)
+	s.orderFailed = false
 	s.orderSent(s.token, now)
 	return append(s.restore(), Promote{Target: s.target, Token: s.token})
 }
@@ -723,8 +730,17 @@
 	case e.Err != nil && s.pauses.overtaken:
 		return s.retryLater(now)
 	case e.Err != nil:
-		return s.issueToken(now)
+		s.orderFailed = true
+		return s.repeatOrder(now)
 	}
 	s.enterPhase(activating, now)
 	return []Action{Note{Text: "promotion was accepted", Member: s.target}}
 }
+
+// repeatOrder repeats an order that failed, not sooner than orderInterval after it.
+func (s *Supervisor) repeatOrder(now time.Time) []Action {
+	if !s.orderFailed || now.Sub(s.phaseSince) < orderInterval {
+		return nil
+	}
+	return s.issueToken(now)
+}
