ctrl, store: instances that are killed before the log is formed form it later

Cause: the log is formed only by an instance whose settings say that the deployment starts for the first time, and that is true once.

Evidence: all three answer each other, none takes a role, and bootstrap is false in the settings of all.

Change: the lowest bit of a member ID tells that its data directory was created at the first start. The initial members form a log once all have answered that they know none and more than half of them are founders: then nothing can have been committed before.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -47,6 +47,7 @@
 	lostID      raft.ID           // ID of unavailable before its disk was lost
 	accepted    map[string]uint64 // version by ID of the accepted change
 	hosted      bool              // members may join, and the log is applied to values
+	formed      bool              // members that start later are told of those that run, not of the initial ones
 	newest      bool              // only the newest value is kept
 	bytesTo     sync.Map          // *atomic.Int64 with the bytes sent to a member, by its address
 	root        string            // of the data directories
--- a/ctrl/join.go
+++ b/ctrl/join.go
@@ -35,8 +35,8 @@
 }
 
 // discoverInitialMembers asks the initial members for their IDs. The list is
-// complete once all have answered, if this member is one of them and may bootstrap a
-// new log, or once one of them reports how the log was bootstrapped.
+// complete once all have answered, if this member is one of them and none of them can know a log,
+// or once one of them reports how the log was bootstrapped.
 func (n *Node) discoverInitialMembers(self raft.ID) (members raft.Members, complete bool) {
 	initial := n.initialAddresses()
 	for _, addr := range initial {
@@ -55,7 +55,20 @@
 		members = append(members, raft.Member{ID: raft.ID(reply.GetId()), Address: addr})
 	}
 	slices.SortFunc(members, func(a, b raft.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return members, n.mayBootstrap && len(members) == len(initial) && slices.Contains(initial, n.addr)
+	return members, len(members) == len(initial) && slices.Contains(initial, n.addr) && neverCommitted(members)
+}
+
+// neverCommitted reports whether no log of the initial members, all of which have an empty data directory, can have
+// committed anything. A data directory of the first start that is empty was never part of a log, and one that was
+// created later may have replaced a lost one. A commit takes more than half of them.
+func neverCommitted(members raft.Members) bool {
+	founders := 0
+	for _, m := range members {
+		if m.ID.IsFounder() {
+			founders++
+		}
+	}
+	return 2*founders > len(members)
 }
 
 // hello introduces this member to the one at addr.
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -60,7 +60,7 @@
 	now            func() time.Time
 	ledger         Ledger // used instead of machine if set
 	openMembership bool   // members at addresses outside initial may join
-	mayBootstrap   bool   // whether the member may bootstrap a new log
+	mayBootstrap   bool   // the deployment starts for the first time
 	neededVoters   int    // fewer would not survive as many lost disks as the deployment has to
 
 	store     *store.Store
@@ -168,7 +168,11 @@
 	for _, opt := range opts {
 		opt(n)
 	}
-	st, saved, err := store.Open(dataDir)
+	var storeOpts []store.Option
+	if n.mayBootstrap {
+		storeOpts = append(storeOpts, store.WithFounder())
+	}
+	st, saved, err := store.Open(dataDir, storeOpts...)
 	if err != nil {
 		return nil, err
 	}
--- a/ctrl/option.go
+++ b/ctrl/option.go
@@ -61,6 +61,7 @@
 	return func(node *Node) { node.neededVoters = max(minOddVoters, 2*n+1) }
 }
 
-// WithoutBootstrap prevents a member with an empty data directory from bootstrapping
-// a new log. It waits until the members of an existing log add it.
+// WithoutBootstrap tells that the deployment does not start for the first time. A member whose data directory is empty then
+// waits until the members of an existing log add it, unless most of the initial ones were there at the first start and
+// know no log either.
 func WithoutBootstrap() Option { return func(n *Node) { n.mayBootstrap = false } }
--- a/ctrl/removed_test.go
+++ b/ctrl/removed_test.go
@@ -36,7 +36,7 @@
 // newHostedCluster starts a cluster whose members are found and replaced while it runs.
 func newHostedCluster(t *testing.T, n int) *cluster {
 	c := newCluster(t, 0)
-	c.hosted = true
+	c.hosted, c.formed = true, true
 	c.addMembers(n)
 	for _, m := range c.members {
 		c.start(m)
@@ -54,7 +54,11 @@
 	if i < initialHosted && first {
 		return append(opts, ctrl.WithInitialMembers(c.addrs()[:initialHosted]...))
 	}
-	return append(opts, ctrl.WithInitialMembers(c.runningAddrs()...), ctrl.WithoutBootstrap())
+	seeds := c.runningAddrs()
+	if !c.formed {
+		seeds = c.addrs()[:initialHosted]
+	}
+	return append(opts, ctrl.WithInitialMembers(seeds...), ctrl.WithoutBootstrap())
 }
 
 // runningAddrs returns the addresses of initialHosted members that run, which the settings of a member name when it
--- a/raft/types.go
+++ b/raft/types.go
@@ -7,6 +7,19 @@
 // member.
 type ID uint64
 
+// founderBit is set in the IDs of data directories that were created when the deployment started for the first time.
+const founderBit ID = 1
+
+// Founder returns the ID, marked as one of a data directory that was created when the deployment started for the first
+// time.
+func (id ID) Founder() ID { return id | founderBit }
+
+// Later returns the ID, marked as one of a data directory that was created later. It may replace a lost one.
+func (id ID) Later() ID { return id &^ founderBit }
+
+// IsFounder reports whether the data directory was created when the deployment started for the first time.
+func (id ID) IsFounder() bool { return id&founderBit != 0 }
+
 // String returns the ID in hexadecimal.
 func (id ID) String() string { return strconv.FormatUint(uint64(id), 16) }
 
--- a/store/open.go
+++ b/store/open.go
@@ -33,6 +33,9 @@
 // WithSegmentBytes sets the size at which a log segment is closed.
 func WithSegmentBytes(bytes int) Option { return func(s *Store) { s.maxSegmentBytes = bytes } }
 
+// WithFounder marks the ID of a new data directory as created when the deployment starts for the first time.
+func WithFounder() Option { return func(s *Store) { s.founder = true } }
+
 // WithIdentitySource sets the random source of the member ID of a new data
 // directory.
 func WithIdentitySource(r io.Reader) Option { return func(s *Store) { s.idSource = r } }
@@ -214,6 +217,9 @@
 	if err != nil {
 		return raft.PersistentState{}, err
 	}
+	if id = id.Later(); s.founder {
+		id = id.Founder()
+	}
 	s.hard = raft.HardState{ID: id}
 	if err := s.rotate(); err != nil {
 		return raft.PersistentState{}, err
@@ -227,8 +233,8 @@
 		if _, err := io.ReadFull(r, buf[:]); err != nil {
 			return 0, eris.Wrap(err, "store: generate a member ID")
 		}
-		if id := binary.LittleEndian.Uint64(buf[:]); id != 0 {
-			return raft.ID(id), nil
+		if id := raft.ID(binary.LittleEndian.Uint64(buf[:])); id.Later() != 0 {
+			return id, nil
 		}
 	}
 }
--- a/store/store.go
+++ b/store/store.go
@@ -21,6 +21,7 @@
 type Store struct {
 	files           Files
 	idSource        io.Reader
+	founder         bool // a new data directory belongs to a deployment that starts for the first time
 	lock            io.Closer
 	maxSegmentBytes int
 	hard            raft.HardState
